--- a/core/fault/describe.go
+++ b/core/fault/describe.go
@@ -21,48 +21,31 @@
 )
 
 func describe(kind Kind) description {
-	switch kind {
-	case UnknownCustomer:
-		return description{NotRun, stateInvalidAuthorization, "apply a contract for this customer, or correct the user name"}
-	case UnknownDatabase:
-		return description{NotRun, stateUnknownDatabase, "correct the database name, or add it to a group"}
-	case GroupForbidden:
-		return description{NotRun, stateInvalidAuthorization, "add the group to the customer's contract"}
-	case QueueFull:
-		return description{NotRun, stateTooManyConnections, "send the request again later, or raise queueLength in the contract"}
-	case QueueTimeout:
-		return description{NotRun, stateTooManyConnections, "send the request again later, or raise connections in the contract"}
-	case RateExceeded:
-		return description{NotRun, stateOverloaded, "slow down, or raise requestRate in the contract"}
-	case NoOwner:
-		return description{NotRun, stateNotNow, "send the request again; another instance is taking over"}
-	case NoPrimary:
-		return description{NotRun, stateNotNow, "send the request again; a primary is being promoted"}
-	case ReplicationBehind:
-		return description{NotRun, stateNotNow, "send the request again when the replicas have caught up"}
-	case Isolated:
-		return description{NotRun, stateNotNow, "connect to another instance; this one hears neither the store nor enough peers"}
-	case Stopping:
-		return description{NotRun, stateNotNow, "connect to another instance; this one is stopping"}
-	case OutcomeUnknown:
-		return description{Unknown, stateUnknownResolution, "read the data, or repeat with the same request key, before sending it again"}
-	case AlreadyRun:
-		return description{Failed, stateUniqueViolation, "do not send it again; the request with this key has run"}
-	case LeaseLost:
-		return description{NotRun, stateNotNow, "send the read again; the owner of the database changed"}
-	case ProtocolViolation:
-		return description{NotRun, stateProtocolViolation, "send well-formed messages within the size limit"}
-	case StatementTimeout:
-		return description{Unknown, stateQueryCanceled, "send smaller requests, or raise statementTimeout in the contract"}
-	case InvalidContract:
-		return description{NotRun, stateInvalidParameter, "correct the contract and apply it again"}
-	case RevisionConflict:
-		return description{NotRun, stateSerialization, "get the current contract, repeat the change on it and apply again"}
-	case StoreUnavailable:
-		return description{Unknown, stateNotNow, "try again when the platform's store answers"}
-	case InvalidSettings:
-		return description{NotRun, stateInvalidParameter, "correct the settings named"}
-	default:
-		return description{Unknown, stateNotNow, "report this error kind to the maintainers"}
+	if d, ok := descriptions[kind]; ok {
+		return d
 	}
+	return description{Unknown, stateNotNow, "report this error kind to the maintainers"}
+}
+
+var descriptions = map[Kind]description{
+	UnknownCustomer:   {NotRun, stateInvalidAuthorization, "apply a contract for this customer, or correct the user name"},
+	UnknownDatabase:   {NotRun, stateUnknownDatabase, "correct the database name, or add it to a group"},
+	GroupForbidden:    {NotRun, stateInvalidAuthorization, "add the group to the customer's contract"},
+	QueueFull:         {NotRun, stateTooManyConnections, "send the request again later, or raise queueLength in the contract"},
+	QueueTimeout:      {NotRun, stateTooManyConnections, "send the request again later, or raise connections in the contract"},
+	RateExceeded:      {NotRun, stateOverloaded, "slow down, or raise requestRate in the contract"},
+	NoOwner:           {NotRun, stateNotNow, "send the request again; another instance is taking over"},
+	NoPrimary:         {NotRun, stateNotNow, "send the request again; a primary is being promoted"},
+	ReplicationBehind: {NotRun, stateNotNow, "send the request again when the replicas have caught up"},
+	Isolated:          {NotRun, stateNotNow, "connect to another instance; this one hears neither the store nor enough peers"},
+	Stopping:          {NotRun, stateNotNow, "connect to another instance; this one is stopping"},
+	OutcomeUnknown:    {Unknown, stateUnknownResolution, "read the data, or repeat with the same request key, before sending it again"},
+	AlreadyRun:        {Failed, stateUniqueViolation, "do not send it again; the request with this key has run"},
+	LeaseLost:         {NotRun, stateNotNow, "send the read again; the owner of the database changed"},
+	ProtocolViolation: {NotRun, stateProtocolViolation, "send well-formed messages within the size limit"},
+	StatementTimeout:  {Unknown, stateQueryCanceled, "send smaller requests, or raise statementTimeout in the contract"},
+	InvalidContract:   {NotRun, stateInvalidParameter, "correct the contract and apply it again"},
+	RevisionConflict:  {NotRun, stateSerialization, "get the current contract, repeat the change on it and apply again"},
+	StoreUnavailable:  {Unknown, stateNotNow, "try again when the platform's store answers"},
+	InvalidSettings:   {NotRun, stateInvalidParameter, "correct the settings named"},
 }
