--- /dev/null
+++ b/core/relay/entry.go
@@ -0,0 +1,11 @@
+package relay
+
+import "turmericpulley/core/types"
+
+// Entry is one version of a value of the store; a deletion is a version too.
+type Entry struct {
+	Key      string         `json:"key"`
+	Value    []byte         `json:"value"`
+	Revision types.Revision `json:"revision"`
+	Deleted  bool           `json:"deleted"`
+}
