feat: add the platform stand-in

The proxy needs a key-value service with compare-and-swap, leases and watches to be tested against. It serves the platform calls of PROTOCOLS.md in-process.

--- /dev/null
+++ b/io/fakekv/lease.go
@@ -0,0 +1,62 @@
+package fakekv
+
+import (
+	"sort"
+	"strconv"
+	"time"
+)
+
+// leaseID identifies a lease.
+type leaseID string
+
+// lease deletes the keys attached to it when it is not renewed in time.
+type lease struct {
+	ttl      time.Duration
+	deadline time.Time
+	timer    *time.Timer
+}
+
+// grant creates a lease.
+func (s *store) grant(ttl time.Duration) leaseID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	id := leaseID("lease-" + strconv.FormatUint(uint64(s.revision), 10))
+	l := &lease{ttl: ttl, deadline: time.Now().Add(ttl)}
+	l.timer = time.AfterFunc(ttl, func() { s.lapse(id) })
+	s.leases[id] = l
+	return id
+}
+
+// renew extends a lease by its time to live.
+func (s *store) renew(id leaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.live(id)
+	if l == nil {
+		return errNoLease
+	}
+	l.deadline = time.Now().Add(l.ttl)
+	l.timer.Reset(l.ttl)
+	return nil
+}
+
+// lapse ends a lease whose deadline has passed and deletes its keys.
+func (s *store) lapse(id leaseID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || s.leases[id] == nil || s.live(id) != nil {
+		return
+	}
+	delete(s.leases, id)
+	var keys []string
+	for key, it := range s.items {
+		if it.lease == id && !it.deleted {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	for _, key := range keys {
+		s.write(key, item{deleted: true})
+	}
+}
--- /dev/null
+++ b/io/fakekv/platform.go
@@ -0,0 +1,103 @@
+package fakekv
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// headerTimeout bounds how long a caller may take to send a request's header.
+const headerTimeout = 10 * time.Second
+
+// Platform is a running platform stand-in.
+type Platform struct {
+	listener net.Listener
+	server   *http.Server
+	store    *store
+	targets  history
+	reads    atomic.Int64
+	writes   atomic.Int64
+	waiting  atomic.Int64
+	work     sync.WaitGroup
+
+	mu      sync.Mutex
+	faults  Faults
+	closing chan struct{}
+}
+
+// Start listens on the address of the settings and serves until Close.
+func Start(settings Settings) (*Platform, error) {
+	listener, err := net.Listen("tcp", settings.Address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listening on %s", settings.Address)
+	}
+	p := &Platform{listener: listener, store: newStore(settings.Seed), closing: make(chan struct{})}
+	p.targets.set(settings.Targets, time.Now())
+	p.server = &http.Server{Handler: p.handler(), ReadHeaderTimeout: headerTimeout}
+	p.work.Add(1)
+	go func() {
+		defer p.work.Done()
+		_ = p.server.Serve(listener)
+	}()
+	return p, nil
+}
+
+// URL returns the base address of the HTTP interface.
+func (p *Platform) URL() string { return "http://" + p.listener.Addr().String() }
+
+// Close stops the platform at once; calls in flight get no answer.
+func (p *Platform) Close() error {
+	p.mu.Lock()
+	select {
+	case <-p.closing:
+	default:
+		close(p.closing)
+	}
+	p.mu.Unlock()
+	err := p.server.Close()
+	p.work.Wait()
+	p.store.close()
+	return errors.Wrap(err, "closing the platform")
+}
+
+// SetFaults replaces the faults; calls that wait end when the platform goes down.
+func (p *Platform) SetFaults(faults Faults) {
+	p.mu.Lock()
+	p.faults = faults
+	p.mu.Unlock()
+	p.store.mu.Lock()
+	defer p.store.mu.Unlock()
+	p.store.wake()
+}
+
+// Faults returns the faults in force; LoseAnswers is what is left of it.
+func (p *Platform) Faults() Faults {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults
+}
+
+// SetTargets replaces the target list; callers see it after the list lag.
+func (p *Platform) SetTargets(targets []Target) {
+	p.targets.set(targets, time.Now())
+}
+
+// Calls returns how many calls were received since the start.
+func (p *Platform) Calls() Calls {
+	return Calls{Reads: p.reads.Load(), Writes: p.writes.Load(), Waiting: p.waiting.Load()}
+}
+
+// takeLostAnswer reports whether the answer to the present write is to be lost.
+func (p *Platform) takeLostAnswer() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.faults.LoseAnswers <= 0 {
+		return false
+	}
+	p.faults.LoseAnswers--
+	return true
+}
--- /dev/null
+++ b/io/fakekv/standin.go
@@ -0,0 +1,33 @@
+package fakekv
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// replaceTargets serves the change of the target list.
+func (p *Platform) replaceTargets(w http.ResponseWriter, r *http.Request) {
+	var targets []Target
+	if err := json.NewDecoder(r.Body).Decode(&targets); err != nil {
+		send(w, badRequest(err))
+		return
+	}
+	p.SetTargets(targets)
+	send(w, answer{http.StatusOK, emptyAnswer{}})
+}
+
+// replaceFaults serves the change of the faults.
+func (p *Platform) replaceFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		send(w, badRequest(err))
+		return
+	}
+	p.SetFaults(faults)
+	send(w, answer{http.StatusOK, emptyAnswer{}})
+}
+
+// reportCalls serves the counts of calls.
+func (p *Platform) reportCalls(w http.ResponseWriter, _ *http.Request) {
+	send(w, answer{http.StatusOK, p.Calls()})
+}
--- /dev/null
+++ b/io/fakekv/store.go
@@ -0,0 +1,138 @@
+package fakekv
+
+import (
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"turmericpulley/core/types"
+)
+
+// errNoLease reports a lease that lapsed or never existed.
+var errNoLease = errors.New("the lease does not exist; create a new one")
+
+// store holds the documents and leases under one counter of revisions.
+type store struct {
+	mu       sync.Mutex
+	revision types.Revision
+	items    map[string]item
+	leases   map[leaseID]*lease
+	changed  chan struct{}
+	closed   bool
+}
+
+// item is the last state of a key; a deleted key keeps its item so that watches see the deletion.
+type item struct {
+	value    string
+	revision types.Revision
+	deleted  bool
+	lease    leaseID
+}
+
+func newStore(seed map[string]string) *store {
+	s := &store{items: map[string]item{}, leases: map[leaseID]*lease{}, changed: make(chan struct{})}
+	keys := make([]string, 0, len(seed))
+	for key := range seed {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	for _, key := range keys {
+		s.write(key, item{value: seed[key]})
+	}
+	return s
+}
+
+// write stores the item under the next revision; the caller holds the lock.
+func (s *store) write(key string, it item) types.Revision {
+	s.revision++
+	it.revision = s.revision
+	s.items[key] = it
+	s.wake()
+	return s.revision
+}
+
+// wake lets every waiting watch look again; the caller holds the lock.
+func (s *store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) get(key string) (item, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	it, ok := s.items[key]
+	return it, ok && !it.deleted
+}
+
+// present returns the revision of a key's value, 0 when there is none; the caller holds the lock.
+func (s *store) present(key string) types.Revision {
+	if it, ok := s.items[key]; ok && !it.deleted {
+		return it.revision
+	}
+	return 0
+}
+
+// put writes a value if the expectation holds; it returns the new revision, or the present one and false.
+func (s *store) put(key, value string, want expectation, id leaseID) (types.Revision, bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if id != "" && s.live(id) == nil {
+		return 0, false, errNoLease
+	}
+	if present := s.present(key); !want.holds(present) {
+		return present, false, nil
+	}
+	return s.write(key, item{value: value, lease: id}), true, nil
+}
+
+// remove deletes a key if the expectation holds; it returns as put does.
+func (s *store) remove(key string, want expectation) (types.Revision, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	present := s.present(key)
+	if !want.holds(present) {
+		return present, false
+	}
+	if present == 0 {
+		return s.revision, true
+	}
+	return s.write(key, item{deleted: true}), true
+}
+
+// list returns the entries under a prefix that changed after a revision, and a channel closed at the next change.
+func (s *store) list(prefix string, after types.Revision) (page, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := page{Revision: s.revision, Entries: []entry{}}
+	for key, it := range s.items {
+		if it.revision > after && strings.HasPrefix(key, prefix) {
+			found.Entries = append(found.Entries, entry{key, it.value, it.revision, it.deleted})
+		}
+	}
+	sort.Slice(found.Entries, func(i, j int) bool {
+		return found.Entries[i].Revision < found.Entries[j].Revision
+	})
+	return found, s.changed
+}
+
+// close stops the timers of all leases.
+func (s *store) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for _, l := range s.leases {
+		l.timer.Stop()
+	}
+}
+
+// live returns the lease unless it lapsed; the caller holds the lock.
+func (s *store) live(id leaseID) *lease {
+	l := s.leases[id]
+	if l == nil || !time.Now().Before(l.deadline) {
+		return nil
+	}
+	return l
+}
--- /dev/null
+++ b/io/fakekv/targets.go
@@ -0,0 +1,36 @@
+package fakekv
+
+import (
+	"sync"
+	"time"
+)
+
+// history keeps every version of the target list with the time it was set.
+type history struct {
+	mu       sync.Mutex
+	versions []version
+}
+
+// version is one state of the target list.
+type version struct {
+	since   time.Time
+	targets []Target
+}
+
+func (h *history) set(targets []Target, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.versions = append(h.versions, version{since: now, targets: append([]Target{}, targets...)})
+}
+
+// at returns the list that was in force at a time.
+func (h *history) at(t time.Time) []Target {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i := len(h.versions) - 1; i >= 0; i-- {
+		if !h.versions[i].since.After(t) {
+			return h.versions[i].targets
+		}
+	}
+	return []Target{}
+}
