--- /dev/null
+++ b/core/audit/check.go
@@ -0,0 +1,14 @@
+package audit
+
+// Check compares a history with the states read before its first and after its last operation.
+func Check(operations []Operation, initial, final State) Verdict {
+	verdict := Verdict{}
+	for _, rh := range byRow(operations) {
+		verdict.add(rh.checkInserts(final)...)
+		verdict.add(rh.checkVersions(final)...)
+		verdict.add(rh.checkCounter(initial, final)...)
+		verdict.add(rh.checkCounterReads(initial)...)
+	}
+	verdict.add(checkSessions(operations, initial)...)
+	return verdict
+}
--- /dev/null
+++ b/core/audit/check_test.go
@@ -0,0 +1,164 @@
+package audit_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"turmericpulley/core/audit"
+)
+
+const (
+	desk  = "desk"
+	floor = "floor"
+)
+
+var (
+	order = audit.Row{Database: "orders-1", Key: "order:1"}
+	till  = audit.Row{Database: "orders-1", Key: "till:1"}
+)
+
+// at returns an acknowledged operation of the desk that takes one unit of time.
+func at(moment int, kind audit.Kind, row audit.Row, value audit.Value) audit.Operation {
+	return audit.Operation{
+		Session: desk, Row: row, Kind: kind, Value: value, Outcome: audit.Acknowledged, Server: audit.Primary,
+		Invoked: audit.Moment(10 * moment), Returned: audit.Moment(10*moment + 5),
+	}
+}
+
+func with(o audit.Operation, outcome audit.Outcome) audit.Operation {
+	o.Outcome = outcome
+	return o
+}
+
+func by(o audit.Operation, session string) audit.Operation {
+	o.Session = "floor"
+	if session == desk {
+		o.Session = desk
+	}
+	return o
+}
+
+func state(rows ...audit.Row) audit.State {
+	s := audit.NewState()
+	for _, row := range rows {
+		s.Set(row, 1)
+	}
+	return s
+}
+
+func valued(row audit.Row, value audit.Value) audit.State {
+	s := audit.NewState()
+	s.Set(row, value)
+	return s
+}
+
+func TestCheckFindsEachFault(t *testing.T) {
+	insert := at(1, audit.Insert, order, 1)
+	add := at(1, audit.Increment, till, 1)
+	cases := map[string]struct {
+		operations []audit.Operation
+		final      audit.State
+		violation  audit.Violation
+	}{
+		"acknowledged insert missing":     {[]audit.Operation{insert}, state(), audit.LostWrite},
+		"id found twice":                  {[]audit.Operation{insert}, state(order, order), audit.DoubledWrite},
+		"id acknowledged twice":           {[]audit.Operation{insert, at(2, audit.Insert, order, 1)}, state(order), audit.DoubledWrite},
+		"refused insert present":          {[]audit.Operation{with(insert, audit.NotRun)}, state(order), audit.FalseRefusal},
+		"failed insert present":           {[]audit.Operation{with(insert, audit.Failed)}, state(order), audit.FalseRefusal},
+		"acknowledged version missing":    {[]audit.Operation{at(1, audit.Write, order, 3)}, valued(order, 2), audit.LostWrite},
+		"refused version present":         {[]audit.Operation{with(at(1, audit.Write, order, 3), audit.NotRun)}, valued(order, 3), audit.FalseRefusal},
+		"acknowledged increment missing":  {[]audit.Operation{add, at(2, audit.Increment, till, 1)}, valued(till, 1), audit.LostWrite},
+		"increment run twice":             {[]audit.Operation{add}, valued(till, 2), audit.DoubledWrite},
+		"unknown increment run twice":     {[]audit.Operation{with(add, audit.Unknown)}, valued(till, 2), audit.DoubledWrite},
+		"refused increment run":           {[]audit.Operation{with(add, audit.NotRun)}, valued(till, 1), audit.DoubledWrite},
+		"counter read too high":           {[]audit.Operation{add, at(2, audit.Read, till, 2)}, valued(till, 1), audit.DoubledWrite},
+		"read misses own insert":          {[]audit.Operation{insert, at(2, audit.Read, order, 0)}, state(order), audit.StaleRead},
+		"read misses own increment":       {[]audit.Operation{add, at(2, audit.Read, till, 0)}, valued(till, 1), audit.StaleRead},
+		"read goes back":                  {[]audit.Operation{at(1, audit.Read, order, 4), at(2, audit.Read, order, 3)}, valued(order, 4), audit.StaleRead},
+		"read misses own earlier version": {[]audit.Operation{at(1, audit.Write, order, 4), at(2, audit.Read, order, 3)}, valued(order, 4), audit.StaleRead},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			verdict := audit.Check(c.operations, audit.NewState(), c.final)
+			require.Len(t, verdict.Findings, 1)
+			require.Equal(t, c.violation, verdict.Findings[0].Violation)
+			require.Equal(t, 1, verdict.LostWrites+verdict.DoubledWrites+verdict.FalseRefusals+verdict.StaleReads)
+			require.NotEmpty(t, verdict.Findings[0].String())
+		})
+	}
+}
+
+func TestCheckAllowsWhatIsPromised(t *testing.T) {
+	concurrent := at(1, audit.Read, order, 0)
+	cases := map[string]struct {
+		operations []audit.Operation
+		final      audit.State
+	}{
+		"unknown insert missing":        {[]audit.Operation{with(at(1, audit.Insert, order, 1), audit.Unknown)}, state()},
+		"unknown insert present":        {[]audit.Operation{with(at(1, audit.Insert, order, 1), audit.Unknown)}, state(order)},
+		"refused, then acknowledged":    {[]audit.Operation{with(at(1, audit.Insert, order, 1), audit.NotRun), at(2, audit.Insert, order, 1)}, state(order)},
+		"read during the insert":        {[]audit.Operation{at(1, audit.Insert, order, 1), concurrent}, state(order)},
+		"another session reads old":     {[]audit.Operation{at(1, audit.Insert, order, 1), by(at(2, audit.Read, order, 0), floor)}, state(order)},
+		"unknown increment present":     {[]audit.Operation{with(at(1, audit.Increment, till, 1), audit.Unknown)}, valued(till, 1)},
+		"read of an unknown increment":  {[]audit.Operation{with(at(1, audit.Increment, till, 1), audit.Unknown), at(2, audit.Read, till, 1)}, valued(till, 1)},
+		"failed read is not compared":   {[]audit.Operation{at(1, audit.Insert, order, 1), with(at(2, audit.Read, order, 0), audit.Failed)}, state(order)},
+		"version above an earlier acks": {[]audit.Operation{at(1, audit.Write, order, 2), at(2, audit.Write, order, 3)}, valued(order, 3)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			require.Empty(t, audit.Check(c.operations, audit.NewState(), c.final).Findings)
+		})
+	}
+}
+
+// A correct counter passes and any change of its end by one more than the unknown increments is found.
+func TestCounterMutations(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		outcomes := rapid.SliceOfN(rapid.SampledFrom(audit.Outcomes()), 1, 30).Draw(rt, "outcomes")
+		ran := rapid.SliceOfN(rapid.Bool(), len(outcomes), len(outcomes)).Draw(rt, "ran")
+		var operations []audit.Operation
+		var count, acknowledged, unknown audit.Value
+		for i, outcome := range outcomes {
+			operations = append(operations, with(at(i, audit.Increment, till, 1), outcome))
+			switch {
+			case outcome == audit.Acknowledged:
+				acknowledged++
+				count++
+			case outcome == audit.Unknown:
+				unknown++
+				if ran[i] {
+					count++
+				}
+			}
+		}
+		require.Empty(rt, audit.Check(operations, audit.NewState(), valued(till, count)).Findings)
+		lost := audit.Check(operations, audit.NewState(), valued(till, acknowledged-1))
+		require.Equal(rt, 1, lost.LostWrites)
+		doubled := audit.Check(operations, audit.NewState(), valued(till, acknowledged+unknown+1))
+		require.Equal(rt, 1, doubled.DoubledWrites)
+	})
+}
+
+func TestHistoryOrdersByStart(t *testing.T) {
+	h := audit.NewHistory()
+	require.Less(t, h.Now(), audit.Moment(time.Minute))
+	h.Add(at(2, audit.Read, order, 1), at(1, audit.Insert, order, 1))
+	operations := h.Operations()
+	require.Equal(t, audit.Insert, operations[0].Kind)
+	require.Equal(t, 10*time.Nanosecond, operations[1].Invoked.Sub(operations[0].Invoked))
+}
+
+func TestSQLStateOutcomes(t *testing.T) {
+	for _, code := range []audit.SQLState{"57P03", "53300", "53400", "28000", "3D000", "08P01"} {
+		require.Equal(t, audit.NotRun, code.Outcome(), code)
+	}
+	for _, code := range []audit.SQLState{"08007", "08006", "57P01", "57014"} {
+		require.Equal(t, audit.Unknown, code.Outcome(), code)
+	}
+	for _, code := range []audit.SQLState{"23505", "25006", "40001", "42601"} {
+		require.Equal(t, audit.Failed, code.Outcome(), code)
+	}
+}
--- /dev/null
+++ b/core/audit/finding.go
@@ -0,0 +1,37 @@
+package audit
+
+import (
+	"fmt"
+
+	"turmericpulley/core/types"
+)
+
+// Violation names the promise that a finding breaks.
+type Violation string
+
+const (
+	// LostWrite reports an acknowledged write that is missing from the final state.
+	LostWrite Violation = "lostWrite"
+	// DoubledWrite reports a write that took effect more often than it was allowed to.
+	DoubledWrite Violation = "doubledWrite"
+	// FalseRefusal reports a write that took effect although its caller was told that it did not.
+	FalseRefusal Violation = "falseRefusal"
+	// StaleRead reports a read older than what its session had written or read before.
+	StaleRead Violation = "staleRead"
+)
+
+// Finding is one broken promise.
+type Finding struct {
+	Violation Violation         `json:"violation"`
+	Row       Row               `json:"row"`
+	Session   types.SessionName `json:"session,omitempty"`
+	// Count is how many writes or reads the finding stands for.
+	Count  int    `json:"count"`
+	Detail string `json:"detail"`
+}
+
+// String returns the finding as one line for people.
+func (f Finding) String() string {
+	return fmt.Sprintf("%s ×%d: row %s of %s, session %q: %s",
+		f.Violation, f.Count, f.Row.Key, f.Row.Database, f.Session, f.Detail)
+}
--- /dev/null
+++ b/core/audit/inserts.go
@@ -0,0 +1,41 @@
+package audit
+
+import "fmt"
+
+// checkInserts finds acknowledged ids that are missing, ids found more than once, and ids that no answer allows.
+func (h rowHistory) checkInserts(final State) []Finding {
+	inserts := h.ofKind(Insert)
+	if len(inserts) == 0 {
+		return nil
+	}
+	var findings []Finding
+	acknowledged, possible := countRuns(inserts)
+	copies := final.Copies[h.row]
+	if acknowledged > 0 && copies == 0 {
+		findings = append(findings, h.finding(LostWrite, 1, "the insert was acknowledged and the row is missing at the end"))
+	}
+	if copies > 1 {
+		findings = append(findings, h.finding(DoubledWrite, copies-1, fmt.Sprintf("the id was found %d times at the end", copies)))
+	}
+	if acknowledged > 1 {
+		findings = append(findings, h.finding(DoubledWrite, acknowledged-1,
+			fmt.Sprintf("inserts of one id were acknowledged %d times", acknowledged)))
+	}
+	if possible == 0 && copies > 0 {
+		findings = append(findings, h.finding(FalseRefusal, 1, "no insert was acknowledged or unknown and the row exists at the end"))
+	}
+	return findings
+}
+
+// countRuns returns how many operations were acknowledged and how many were acknowledged or unknown.
+func countRuns(operations []Operation) (acknowledged, possible int) {
+	for _, o := range operations {
+		if o.Outcome == Acknowledged {
+			acknowledged++
+		}
+		if o.mayHaveRun() {
+			possible++
+		}
+	}
+	return acknowledged, possible
+}
--- /dev/null
+++ b/core/audit/operation.go
@@ -0,0 +1,26 @@
+package audit
+
+import "turmericpulley/core/types"
+
+// Operation is one request of a session on one row, with its answer.
+type Operation struct {
+	Session    types.SessionName
+	Customer   types.CustomerID
+	Row        Row
+	Kind       Kind
+	RequestKey types.RequestKey
+	// Value is the version written, the amount added, or what a read returned; zero for a read of a missing row.
+	Value    Value
+	Invoked  Moment
+	Returned Moment
+	Outcome  Outcome
+	// SQLState is the code of the error, empty when there was none or the connection broke.
+	SQLState SQLState
+	Server   Server
+}
+
+// writes reports whether the operation may change its row.
+func (o Operation) writes() bool { return o.Kind != Read }
+
+// mayHaveRun reports whether the answer allows that the operation took effect.
+func (o Operation) mayHaveRun() bool { return o.Outcome == Acknowledged || o.Outcome == Unknown }
--- /dev/null
+++ b/core/audit/register.go
@@ -0,0 +1,72 @@
+package audit
+
+import (
+	"math"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// Linearizable reports whether the history of every row is that of a register.
+//
+// Increments are left to Check. A read counts when the primary served it, or when its session is the row's only
+// writer, which must see its own work wherever it reads.
+func Linearizable(operations []Operation, initial State) bool {
+	for _, h := range byRow(operations) {
+		model := registerModel(initial.Values[h.row])
+		if !porcupine.CheckOperations(model, h.registerOperations()) {
+			return false
+		}
+	}
+	return true
+}
+
+// registerModel returns the model of a register that starts with a value.
+func registerModel(start Value) porcupine.Model {
+	return porcupine.Model{
+		Init: func() any { return start },
+		Step: func(state, input, _ any) (bool, any) {
+			o := input.(Operation)
+			if o.Kind == Read {
+				return o.Value == state.(Value), state
+			}
+			return true, o.Value
+		},
+	}
+}
+
+// registerOperations returns the operations of the row that the register model takes.
+func (h rowHistory) registerOperations() []porcupine.Operation {
+	if len(h.ofKind(Increment)) > 0 {
+		return nil
+	}
+	single := h.singleWriter()
+	var selected []porcupine.Operation
+	for _, o := range h.operations {
+		if !h.inRegister(o, single) {
+			continue
+		}
+		selected = append(selected, porcupine.Operation{
+			ClientId: len(selected), Input: o, Call: int64(o.Invoked), Return: int64(end(o)),
+		})
+	}
+	return selected
+}
+
+// inRegister reports whether the register model takes the operation.
+func (h rowHistory) inRegister(o Operation, singleWriter bool) bool {
+	if o.writes() {
+		return o.mayHaveRun()
+	}
+	if o.Outcome != Acknowledged {
+		return false
+	}
+	return o.Server == Primary || singleWriter && o.Session == h.writer()
+}
+
+// end returns when the effect of the operation was certain; that of an unknown one never is.
+func end(o Operation) Moment {
+	if o.Outcome == Unknown {
+		return Moment(math.MaxInt64)
+	}
+	return o.Returned
+}
--- /dev/null
+++ b/core/audit/rowhistory.go
@@ -0,0 +1,50 @@
+package audit
+
+import (
+	"cmp"
+	"slices"
+)
+
+// rowHistory is the part of a history that concerns one row, in the order of the starts.
+type rowHistory struct {
+	row        Row
+	operations []Operation
+}
+
+// byRow splits a history into the histories of its rows, in a stable order.
+func byRow(operations []Operation) []rowHistory {
+	index := map[Row]int{}
+	var histories []rowHistory
+	for _, o := range operations {
+		i, found := index[o.Row]
+		if !found {
+			i = len(histories)
+			index[o.Row] = i
+			histories = append(histories, rowHistory{row: o.Row})
+		}
+		histories[i].operations = append(histories[i].operations, o)
+	}
+	for _, h := range histories {
+		sortByInvoked(h.operations)
+	}
+	slices.SortFunc(histories, func(a, b rowHistory) int {
+		return cmp.Or(cmp.Compare(a.row.Database, b.row.Database), cmp.Compare(a.row.Key, b.row.Key))
+	})
+	return histories
+}
+
+// ofKind returns the operations of one kind.
+func (h rowHistory) ofKind(kind Kind) []Operation {
+	var found []Operation
+	for _, o := range h.operations {
+		if o.Kind == kind {
+			found = append(found, o)
+		}
+	}
+	return found
+}
+
+// finding returns a finding about the row.
+func (h rowHistory) finding(violation Violation, count int, detail string) Finding {
+	return Finding{Violation: violation, Row: h.row, Session: h.operations[0].Session, Count: count, Detail: detail}
+}
--- /dev/null
+++ b/core/audit/sessions.go
@@ -0,0 +1,60 @@
+package audit
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"turmericpulley/core/types"
+)
+
+// sessionRow identifies what one session does to one row.
+type sessionRow struct {
+	session types.SessionName
+	row     Row
+}
+
+// checkSessions finds reads older than what their session had written or read before, for every session and row.
+func checkSessions(operations []Operation, initial State) []Finding {
+	groups := map[sessionRow][]Operation{}
+	var order []sessionRow
+	for _, o := range operations {
+		if o.Outcome != Acknowledged {
+			continue
+		}
+		sr := sessionRow{session: o.Session, row: o.Row}
+		if _, found := groups[sr]; !found {
+			order = append(order, sr)
+		}
+		groups[sr] = append(groups[sr], o)
+	}
+	var findings []Finding
+	for _, sr := range order {
+		if stale := staleReads(groups[sr], initial.Values[sr.row]); stale > 0 {
+			findings = append(findings, Finding{
+				Violation: StaleRead, Row: sr.row, Session: sr.session, Count: stale,
+				Detail: fmt.Sprintf("%d reads returned less than the session had written or read before", stale),
+			})
+		}
+	}
+	return findings
+}
+
+// staleReads counts the reads below their floor; all operations belong to one session and row.
+func staleReads(operations []Operation, start Value) int {
+	returned := slices.Clone(operations)
+	slices.SortStableFunc(returned, func(a, b Operation) int { return cmp.Compare(a.Returned, b.Returned) })
+	sortByInvoked(operations)
+	floor := newSessionFloor(start)
+	next, stale := 0, 0
+	for _, o := range operations {
+		for next < len(returned) && returned[next].Returned < o.Invoked {
+			floor.observe(returned[next])
+			next++
+		}
+		if o.Kind == Read && o.Value < floor.value() {
+			stale++
+		}
+	}
+	return stale
+}
--- /dev/null
+++ b/core/audit/verdict.go
@@ -0,0 +1,29 @@
+package audit
+
+// Verdict is the result of checking a history.
+type Verdict struct {
+	LostWrites    int       `json:"lostWrites"`
+	DoubledWrites int       `json:"doubledWrites"`
+	FalseRefusals int       `json:"falseRefusals"`
+	StaleReads    int       `json:"staleReads"`
+	Findings      []Finding `json:"findings,omitempty"`
+}
+
+// Clean reports whether the history breaks no promise.
+func (v Verdict) Clean() bool { return len(v.Findings) == 0 }
+
+func (v *Verdict) add(findings ...Finding) {
+	for _, f := range findings {
+		switch f.Violation {
+		case LostWrite:
+			v.LostWrites += f.Count
+		case DoubledWrite:
+			v.DoubledWrites += f.Count
+		case FalseRefusal:
+			v.FalseRefusals += f.Count
+		case StaleRead:
+			v.StaleReads += f.Count
+		}
+	}
+	v.Findings = append(v.Findings, findings...)
+}
