--- /dev/null
+++ b/core/admit/queue.go
@@ -0,0 +1,41 @@
+package admit
+
+import (
+	"time"
+
+	"turmericpulley/core/types"
+)
+
+// queue is the state of one customer at one gate.
+type queue struct {
+	customer types.CustomerID
+	limits   Limits
+	inUse    int
+	// served counts grants divided by weight; the lowest goes first.
+	served  float64
+	waiting []*waiter
+}
+
+type waiter struct {
+	granted chan struct{}
+	since   time.Time
+	done    bool
+}
+
+func (q *queue) eligible() bool {
+	return len(q.waiting) > 0 && q.inUse < q.limits.Connections
+}
+
+func (q *queue) grant() {
+	q.inUse++
+	q.served += 1 / float64(max(q.limits.Weight, 1))
+}
+
+func (q *queue) remove(w *waiter) {
+	for i, other := range q.waiting {
+		if other == w {
+			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/core/class/doc.go
@@ -0,0 +1,2 @@
+// Package class remembers which statements replicas refused because they write.
+package class
--- /dev/null
+++ b/core/reads/floors.go
@@ -0,0 +1,63 @@
+package reads
+
+import (
+	"sync"
+
+	"turmericpulley/core/types"
+)
+
+// Floors holds, for each session, the lowest position that its next read may show; it is safe for concurrent use.
+type Floors struct {
+	mu       sync.Mutex
+	base     types.Position
+	sessions map[Session]types.Position
+}
+
+// NewFloors returns floors that start at the base for every session.
+func NewFloors(base types.Position) *Floors {
+	return &Floors{base: base, sessions: map[Session]types.Position{}}
+}
+
+// Floor returns the lowest position that the session's next read may show.
+func (f *Floors) Floor(s Session) types.Position {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(f.base, f.sessions[s])
+}
+
+// Note records that the session has seen the position, by a write or a read.
+func (f *Floors) Note(s Session, seen types.Position) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if seen > f.base && seen > f.sessions[s] {
+		f.sessions[s] = seen
+	}
+}
+
+// RaiseBase lifts the floor of every session to at least the position.
+func (f *Floors) RaiseBase(position types.Position) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if position > f.base {
+		f.base = position
+		f.forget()
+	}
+}
+
+// Applied tells that every member that serves reads has applied the position, so lower floors can be forgotten.
+func (f *Floors) Applied(position types.Position) { f.RaiseBase(position) }
+
+// Len returns the number of sessions held.
+func (f *Floors) Len() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.sessions)
+}
+
+func (f *Floors) forget() {
+	for s, p := range f.sessions {
+		if p <= f.base {
+			delete(f.sessions, s)
+		}
+	}
+}
--- /dev/null
+++ b/core/retry/doc.go
@@ -0,0 +1,2 @@
+// Package retry bounds how much extra work retries may cause.
+package retry
