--- /dev/null
+++ b/core/fleet/change.go
@@ -0,0 +1,89 @@
+package fleet
+
+import (
+	"slices"
+
+	"turmericpulley/core/types"
+)
+
+// Change is one change of a membership: Join, Leave or Remove.
+type Change interface{ change() }
+
+// Join adds an instance, or replaces an earlier incarnation of it.
+type Join struct{ Instance Instance }
+
+// Leave marks an instance as leaving.
+type Leave struct {
+	ID          types.InstanceID
+	Incarnation Incarnation
+}
+
+// Remove takes an instance out.
+type Remove struct {
+	ID          types.InstanceID
+	Incarnation Incarnation
+}
+
+func (Join) change()   {}
+func (Leave) change()  {}
+func (Remove) change() {}
+
+// With returns the membership after the changes and whether it differs; changes of other incarnations are ignored.
+func (m Membership) With(changes []Change) (Membership, bool) {
+	next := Membership{Revision: m.Revision, Instances: slices.Clone(m.Instances)}
+	changed := false
+	for _, c := range changes {
+		if next.apply(c) {
+			changed = true
+		}
+	}
+	return next, changed
+}
+
+// Contains reports whether the change is already part of the membership, or came too late for it.
+func (m Membership) Contains(c Change) bool {
+	_, changed := m.With([]Change{c})
+	return !changed
+}
+
+func (m *Membership) apply(c Change) bool {
+	switch c := c.(type) {
+	case Join:
+		return m.join(c.Instance)
+	case Leave:
+		index := m.index(c.ID, c.Incarnation)
+		if index < 0 || m.Instances[index].State == Leaving {
+			return false
+		}
+		m.Instances[index].State = Leaving
+		return true
+	case Remove:
+		index := m.index(c.ID, c.Incarnation)
+		if index < 0 {
+			return false
+		}
+		m.Instances = slices.Delete(m.Instances, index, index+1)
+		return true
+	default:
+		return false
+	}
+}
+
+func (m *Membership) join(joining Instance) bool {
+	index, found := slices.BinarySearchFunc(m.Instances, joining, compareIDs)
+	if !found {
+		m.Instances = slices.Insert(m.Instances, index, joining)
+		return true
+	}
+	if m.Instances[index].Incarnation >= joining.Incarnation {
+		return false
+	}
+	m.Instances[index] = joining
+	return true
+}
+
+func (m *Membership) index(id types.InstanceID, incarnation Incarnation) int {
+	return slices.IndexFunc(m.Instances, func(i Instance) bool {
+		return i.ID == id && i.Incarnation == incarnation
+	})
+}
