--- /dev/null
+++ b/io/pgcli/dial.go
@@ -0,0 +1,106 @@
+package pgcli
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+
+	"turmericpulley/core/types"
+)
+
+// Dial connects to a target and waits until it is ready.
+func Dial(ctx context.Context, s Settings) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.Timeout)
+	defer cancel()
+	d := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
+	}}
+	network, err := d.DialContext(ctx, "tcp", s.Address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "connecting to target %s", s.Address)
+	}
+	limitSilence(network, silenceTimeout)
+	stop := context.AfterFunc(ctx, func() { _ = network.SetDeadline(time.Unix(1, 0)) })
+	c := &Conn{network: network, reader: bufio.NewReaderSize(network, readBufferBytes), address: s.Address}
+	if err := c.start(s); err != nil {
+		stop()
+		_ = network.Close()
+		return nil, errors.Wrapf(err, "starting up at target %s", s.Address)
+	}
+	if !stop() {
+		_ = network.Close()
+		return nil, errors.Wrapf(ctx.Err(), "starting up at target %s", s.Address)
+	}
+	return c, nil
+}
+
+func (c *Conn) start(s Settings) error {
+	startup := pgproto3.StartupMessage{
+		ProtocolVersion: protocolVersionThree,
+		Parameters: map[string]string{
+			"user":         userName,
+			"database":     string(s.Database),
+			epochParameter: strconv.FormatUint(uint64(s.Epoch), 10),
+		},
+	}
+	payload, err := startup.Encode(nil)
+	if err != nil {
+		return errors.Wrap(err, "encoding the start-up message")
+	}
+	if err := c.Send(payload); err != nil {
+		return err
+	}
+	for {
+		m, err := c.Read()
+		if err != nil {
+			return err
+		}
+		switch m.Type {
+		case typeAuthentication:
+			if err := checkAuthentication(m.Body()); err != nil {
+				return err
+			}
+		case typeBackendKeyData:
+			c.noteKey(m.Body())
+		case TypeErrorResponse:
+			return ParseError(m.Body())
+		case TypeReadyForQuery:
+			return nil
+		case TypeNotice:
+		default:
+			return errors.Errorf("a target sent %q during start-up; check that the address is a database member", m.Type)
+		}
+	}
+}
+
+func checkAuthentication(body []byte) error {
+	if len(body) < authenticationLength || binary.BigEndian.Uint32(body) != authenticationOK {
+		return errors.New("a target asks for a password; let the instances' addresses in without one")
+	}
+	return nil
+}
+
+func (c *Conn) noteKey(body []byte) {
+	if len(body) < backendKeyDataLength {
+		return
+	}
+	c.pid = binary.BigEndian.Uint32(body)
+	c.secret = binary.BigEndian.Uint32(body[messageLengthBytes:])
+}
+
+func (c *Conn) noteParameter(body []byte) {
+	parts := bytes.SplitN(body, []byte{0}, parameterStatusParts+1)
+	if len(parts) < parameterStatusParts || string(parts[0]) != positionSetting {
+		return
+	}
+	if value, err := strconv.ParseUint(string(parts[1]), 10, 64); err == nil {
+		c.position = types.Position(value)
+	}
+}
--- /dev/null
+++ b/io/pgcli/message.go
@@ -0,0 +1,44 @@
+package pgcli
+
+// Types of messages that a target sends.
+const (
+	TypeBindComplete     byte = '2'
+	TypeCommandComplete  byte = 'C'
+	TypeDataRow          byte = 'D'
+	TypeEmptyQuery       byte = 'I'
+	TypeErrorResponse    byte = 'E'
+	TypeParameterStatus  byte = 'S'
+	TypeReadyForQuery    byte = 'Z'
+	TypeNotice           byte = 'N'
+	TypeNotification     byte = 'A'
+	typeBackendKeyData   byte = 'K'
+	typeAuthentication   byte = 'R'
+	messageHeaderBytes        = 5
+	messageLengthBytes        = 4
+	authenticationOK          = 0
+	cancelRequestBytes        = 16
+	cancelRequestCode         = 80877102
+	readyForQueryPayload      = 1
+	backendKeyDataLength      = 8
+	authenticationLength      = 4
+	parameterStatusParts      = 2
+	protocolVersionThree      = 196608
+	typeQuery            byte = 'Q'
+)
+
+// Transaction statuses that ReadyForQuery carries.
+const (
+	StatusIdle          byte = 'I'
+	StatusInTransaction byte = 'T'
+	StatusFailed        byte = 'E'
+)
+
+// Message is one message of a target, valid until the next read.
+type Message struct {
+	Type byte
+	// Raw is the whole message, header included.
+	Raw []byte
+}
+
+// Body returns the message without its header.
+func (m Message) Body() []byte { return m.Raw[messageHeaderBytes:] }
--- /dev/null
+++ b/io/pgcli/settings.go
@@ -0,0 +1,29 @@
+package pgcli
+
+import (
+	"time"
+
+	"turmericpulley/core/types"
+)
+
+// Settings says how to reach a target and as whom.
+type Settings struct {
+	Address  string
+	Database types.DatabaseID
+	Epoch    types.Epoch
+	// Timeout bounds connecting and starting up.
+	Timeout time.Duration
+}
+
+const (
+	userName        = "turmericpulley"
+	epochParameter  = "pulley.epoch"
+	positionSetting = "pulley.position"
+
+	// silenceTimeout bounds how long the kernel keeps unacknowledged data before it ends the connection.
+	silenceTimeout    = 2 * time.Second
+	keepAliveInterval = time.Second
+	keepAliveProbes   = 2
+	readBufferBytes   = 16 << 10
+	maxMessageBytes   = 16 << 20
+)
