feat: client of the platform's store

Every call has a deadline, a bounded answer and a fault that says whether the call may have taken effect: a write without a connection is not run, any other write without a usable answer is unknown. Answers are checked against the question, and a failure drops the idle connections, since they may have gone silent. Listings are bounded at 32 MiB, since 2 MiB hold only some hundred contracts.

--- /dev/null
+++ b/io/store/client.go
@@ -0,0 +1,88 @@
+package store
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"turmericpulley/core/fault"
+)
+
+const (
+	dialTimeout     = time.Second
+	keepAlive       = 15 * time.Second
+	idleTimeout     = 30 * time.Second
+	idleConnections = 4
+)
+
+// Client calls the platform; it is safe for concurrent use.
+type Client struct {
+	base      string
+	timeout   time.Duration
+	logger    hclog.Logger
+	transport *http.Transport
+	http      *http.Client
+	down      atomic.Bool
+	calls     Calls
+}
+
+// New returns a client of the platform in the settings.
+func New(settings Settings) (*Client, error) {
+	settings = settings.withDefaults()
+	base, err := url.Parse(settings.Platform)
+	if err != nil || base.Scheme != "http" && base.Scheme != "https" || base.Host == "" {
+		return nil, fault.New(fault.InvalidSettings, "platform URL "+settings.Platform+" is not like http://127.0.0.1:8500")
+	}
+	dialer := &net.Dialer{Timeout: min(dialTimeout, settings.Timeout), KeepAlive: keepAlive}
+	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     idleTimeout,
+	}
+	client := &http.Client{Transport: transport, CheckRedirect: refuseRedirect}
+	return &Client{
+		base:      strings.TrimSuffix(base.String(), "/"),
+		timeout:   settings.Timeout,
+		logger:    settings.Logger,
+		transport: transport,
+		http:      client,
+	}, nil
+}
+
+func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Calls returns the counters of the client.
+func (c *Client) Calls() *Calls { return &c.calls }
+
+// Close releases the idle connections.
+func (c *Client) Close() error {
+	c.transport.CloseIdleConnections()
+	return nil
+}
+
+// succeeded notes that the platform answered.
+func (c *Client) succeeded() {
+	if c.down.CompareAndSwap(true, false) {
+		c.logger.Info("the platform's store answers again")
+	}
+}
+
+// failed counts a call without an answer and leaves connections that may have gone silent; a call that its
+// caller gave up says nothing about the platform.
+func (c *Client) failed(reason error) {
+	if errors.Is(reason, context.Canceled) {
+		return
+	}
+	c.calls.Failures.Add(1)
+	c.transport.CloseIdleConnections()
+	if c.down.CompareAndSwap(false, true) {
+		c.logger.Warn("the platform's store does not answer", "error", reason)
+	}
+}
--- /dev/null
+++ b/io/store/keys.go
@@ -0,0 +1,15 @@
+package store
+
+import (
+	"net/url"
+	"strings"
+)
+
+// keyPath returns the path of a key, each of its segments escaped.
+func keyPath(key string) string {
+	segments := strings.Split(key, "/")
+	for i, segment := range segments {
+		segments[i] = url.PathEscape(segment)
+	}
+	return "/v1/kv/" + strings.Join(segments, "/")
+}
--- /dev/null
+++ b/io/store/list.go
@@ -0,0 +1,82 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"turmericpulley/core/relay"
+	"turmericpulley/core/types"
+)
+
+// listAnswer is the platform's answer to a listing.
+type listAnswer struct {
+	Revision *types.Revision `json:"revision"`
+	Entries  []listedEntry   `json:"entries"`
+}
+
+// listedEntry is one changed key of a listing.
+type listedEntry struct {
+	Key      string         `json:"key"`
+	Value    string         `json:"value"`
+	Revision types.Revision `json:"revision"`
+	Deleted  bool           `json:"deleted"`
+}
+
+// List reads every key under the prefix that changed after the revision, and waits as long as given for the first.
+func (c *Client) List(
+	ctx context.Context, prefix string, after types.Revision, wait time.Duration,
+) (relay.Page, error) {
+	c.calls.Lists.Add(1)
+	path := fmt.Sprintf("/v1/kv?prefix=%s&after=%s&waitMs=%d", url.QueryEscape(prefix), after, wait.Milliseconds())
+	one := call{method: http.MethodGet, path: path, wait: wait, limit: maxListBytes}
+	got, err := c.do(ctx, one)
+	if err != nil {
+		return relay.Page{}, err
+	}
+	if got.status != http.StatusOK {
+		return relay.Page{}, c.refused(one, got)
+	}
+	var decoded listAnswer
+	if err := json.Unmarshal(got.body, &decoded); err != nil || decoded.Revision == nil {
+		return relay.Page{}, c.garbage(one, "the answer is no listing")
+	}
+	if problem := decoded.problem(prefix, after); problem != "" {
+		return relay.Page{}, c.garbage(one, problem)
+	}
+	c.succeeded()
+	return decoded.page(), nil
+}
+
+// problem says why a listing cannot be the answer to its question; it is empty for a sound one.
+func (l listAnswer) problem(prefix string, after types.Revision) string {
+	if *l.Revision < after {
+		return fmt.Sprintf("the store's revision %s is below %s, which it had before", *l.Revision, after)
+	}
+	for _, entry := range l.Entries {
+		if !strings.HasPrefix(entry.Key, prefix) {
+			return "the listing holds a key outside " + prefix
+		}
+		if entry.Revision <= after || entry.Revision > *l.Revision {
+			return fmt.Sprintf("the listing holds a key of revision %s outside %s to %s", entry.Revision, after, *l.Revision)
+		}
+	}
+	return ""
+}
+
+func (l listAnswer) page() relay.Page {
+	page := relay.Page{Revision: *l.Revision}
+	for _, entry := range l.Entries {
+		page.Entries = append(page.Entries, relay.Entry{
+			Key:      entry.Key,
+			Value:    []byte(entry.Value),
+			Revision: entry.Revision,
+			Deleted:  entry.Deleted,
+		})
+	}
+	return page
+}
--- /dev/null
+++ b/io/store/store_test.go
@@ -0,0 +1,201 @@
+package store_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"turmericpulley/core/fault"
+	"turmericpulley/core/types"
+	"turmericpulley/io/store"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const testTimeout = 150 * time.Millisecond
+
+func newClient(t *testing.T, answer http.HandlerFunc) *store.Client {
+	t.Helper()
+	server := httptest.NewServer(answer)
+	client, err := store.New(store.Settings{Platform: server.URL, Timeout: testTimeout})
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		require.NoError(t, client.Close())
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return client
+}
+
+// say answers every request with the status and the body.
+func say(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func hangUp(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func stall(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.ReadAll(r.Body)
+	<-r.Context().Done()
+}
+
+func requireFault(t *testing.T, err error, kind fault.Kind, outcome fault.Outcome) {
+	t.Helper()
+	f := fault.From(err)
+	require.NotNil(t, f, "%v", err)
+	require.Equal(t, kind, f.Kind, "%v", err)
+	require.Equal(t, outcome, f.Outcome, "%v", err)
+}
+
+func TestCallsReachThePlatform(t *testing.T) {
+	var asked atomic.Value
+	var reply atomic.Value
+	client := newClient(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		asked.Store(r.Method + " " + r.RequestURI + " " + string(body))
+		say(http.StatusOK, reply.Load().(string))(w, r)
+	})
+	ctx := context.Background()
+
+	reply.Store(`{"key":"contracts/a b","value":"text","revision":7}`)
+	value, revision, found, err := client.Get(ctx, "contracts/a b")
+	require.NoError(t, err)
+	require.True(t, found)
+	require.Equal(t, "text", string(value))
+	require.Equal(t, types.Revision(7), revision)
+	require.Equal(t, "GET /v1/kv/contracts/a%20b ", asked.Load())
+
+	reply.Store(`{"revision":8}`)
+	revision, err = client.Put(ctx, "contracts/a", []byte("v"), 7)
+	require.NoError(t, err)
+	require.Equal(t, types.Revision(8), revision)
+	require.Equal(t, "PUT /v1/kv/contracts/a?expected=7 v", asked.Load())
+	_, err = client.Delete(ctx, "contracts/a", 8)
+	require.NoError(t, err)
+	require.Equal(t, "DELETE /v1/kv/contracts/a?expected=8 ", asked.Load())
+
+	reply.Store(`{"revision":9,"entries":[{"key":"contracts/a","value":"v","revision":8},{"key":"contracts/b","revision":9,"deleted":true}]}`)
+	page, err := client.List(ctx, "contracts/", 7, time.Second)
+	require.NoError(t, err)
+	require.Equal(t, "GET /v1/kv?prefix=contracts%2F&after=7&waitMs=1000 ", asked.Load())
+	require.Len(t, page.Entries, 2)
+	require.True(t, page.Entries[1].Deleted)
+
+	reply.Store(`[{"id":"i1","kind":"instance","address":"127.0.0.1:1","dataCentre":"a","state":"leaving"}]`)
+	listed, err := client.Targets(ctx)
+	require.NoError(t, err)
+	require.Equal(t, "i1", listed[0].ID)
+	calls := client.Calls()
+	require.Equal(t, int64(1), calls.Gets.Load()*calls.Puts.Load()*calls.Deletes.Load()*calls.Lists.Load()*calls.Targets.Load())
+	require.Zero(t, calls.Failures.Load())
+}
+
+func TestAbsenceAndConflict(t *testing.T) {
+	absent := newClient(t, say(http.StatusNotFound, ""))
+	_, _, found, err := absent.Get(context.Background(), "k")
+	require.NoError(t, err)
+	require.False(t, found)
+	client := newClient(t, say(http.StatusConflict, `{"revision":12}`))
+	present, err := client.Put(context.Background(), "k", nil, 3)
+	requireFault(t, err, fault.RevisionConflict, fault.NotRun)
+	require.Equal(t, types.Revision(12), present)
+}
+
+func TestBadAnswersAreFaults(t *testing.T) {
+	for name, test := range map[string]struct {
+		answer  http.HandlerFunc
+		garbage bool
+	}{
+		"no JSON":         {say(http.StatusOK, "<html>"), true},
+		"empty":           {say(http.StatusOK, ""), true},
+		"other document":  {say(http.StatusOK, `[{"x":1}]`), true},
+		"empty object":    {say(http.StatusOK, `{}`), true},
+		"another key":     {say(http.StatusOK, `{"key":"other","value":"v","revision":1,"entries":[{"key":"other","revision":1}]}`), true},
+		"conflict of air": {say(http.StatusConflict, "{}"), false},
+		"redirect":        {say(http.StatusTemporaryRedirect, ""), false},
+		"server error":    {say(http.StatusServiceUnavailable, "down"), false},
+		"hung up":         {hangUp, false},
+		"too slow":        {stall, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := newClient(t, test.answer)
+			ctx := context.Background()
+			_, _, found, err := client.Get(ctx, "k")
+			requireFault(t, err, fault.StoreUnavailable, fault.NotRun)
+			require.False(t, found)
+			_, err = client.List(ctx, "k", 0, 0)
+			requireFault(t, err, fault.StoreUnavailable, fault.NotRun)
+			require.Equal(t, test.garbage, client.Calls().Garbage.Load() > 0)
+			if name == "another key" {
+				return // a sound answer to a write
+			}
+			_, err = client.Put(ctx, "k", []byte("v"), 1)
+			requireFault(t, err, fault.StoreUnavailable, fault.Unknown)
+			_, err = client.Delete(ctx, "k", 1)
+			requireFault(t, err, fault.StoreUnavailable, fault.Unknown)
+			require.Equal(t, int64(2), client.Calls().Lost.Load())
+		})
+	}
+}
+
+func TestAnswersAreBounded(t *testing.T) {
+	long := `{"key":"k","revision":1,"value":"` + strings.Repeat("x", 2<<20) + `"}`
+	client := newClient(t, say(http.StatusOK, long))
+	_, _, found, err := client.Get(context.Background(), "k")
+	require.False(t, found)
+	requireFault(t, err, fault.StoreUnavailable, fault.NotRun)
+	_, err = client.Put(context.Background(), "k", nil, 1)
+	requireFault(t, err, fault.StoreUnavailable, fault.Unknown)
+	require.Equal(t, int64(2), client.Calls().Garbage.Load())
+	_, err = client.Put(context.Background(), "k", []byte(long), 1)
+	requireFault(t, err, fault.InvalidSettings, fault.NotRun)
+}
+
+func TestListingsMustFitTheQuestion(t *testing.T) {
+	for name, body := range map[string]string{
+		"store went back":      `{"revision":4,"entries":[]}`,
+		"entry too old":        `{"revision":9,"entries":[{"key":"k/a","revision":5}]}`,
+		"entry beyond its end": `{"revision":9,"entries":[{"key":"k/a","revision":10}]}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := newClient(t, say(http.StatusOK, body))
+			_, err := client.List(context.Background(), "k/", 5, 0)
+			requireFault(t, err, fault.StoreUnavailable, fault.NotRun)
+			require.Equal(t, int64(1), client.Calls().Garbage.Load())
+		})
+	}
+}
+
+func TestWritesWithoutConnectionAreNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, listener.Close())
+	client, err := store.New(store.Settings{Platform: "http://" + listener.Addr().String(), Timeout: testTimeout})
+	require.NoError(t, err)
+	_, err = client.Put(context.Background(), "k", nil, 1)
+	requireFault(t, err, fault.StoreUnavailable, fault.NotRun)
+	_, err = store.New(store.Settings{Platform: "127.0.0.1:80"})
+	requireFault(t, err, fault.InvalidSettings, fault.NotRun)
+}
+
+func TestWaitingListOutlivesTheTimeout(t *testing.T) {
+	client := newClient(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(2 * testTimeout)
+		say(http.StatusOK, `{"revision":5,"entries":[]}`)(w, r)
+	})
+	page, err := client.List(context.Background(), "k/", 5, 2*testTimeout)
+	require.NoError(t, err)
+	require.Equal(t, types.Revision(5), page.Revision)
+}
