--- /dev/null
+++ b/io/load/backoff.go
@@ -0,0 +1,34 @@
+package load
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	firstBackoff = 10 * time.Millisecond
+	lastBackoff  = 500 * time.Millisecond
+)
+
+// backoff waits between the attempts of one request.
+type backoff struct {
+	random *rand.Rand
+	limit  time.Duration
+}
+
+func newBackoff(random *rand.Rand) *backoff { return &backoff{random: random, limit: firstBackoff} }
+
+// wait sleeps for a random part of the present limit and doubles the limit; it reports false when the context ended.
+func (b *backoff) wait(ctx context.Context) bool {
+	pause := b.limit/2 + time.Duration(b.random.Int64N(int64(b.limit/2)))
+	b.limit = min(2*b.limit, lastBackoff)
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/io/load/class.go
@@ -0,0 +1,25 @@
+package load
+
+// Class names the requests of one purpose.
+type Class string
+
+const (
+	// PlaceOrder inserts an order with a unique id.
+	PlaceOrder Class = "placeOrder"
+	// ConfirmOrder updates an order and its stock in one transaction.
+	ConfirmOrder Class = "confirmOrder"
+	// StockRead reads how much of a roll is sold.
+	StockRead Class = "stockRead"
+	// OrderRead reads an order of the session.
+	OrderRead Class = "orderRead"
+	// Rental inserts a rental with a unique id.
+	Rental Class = "rental"
+	// Return updates a rental of the session.
+	Return Class = "return"
+	// Refund increments the refunds of a till and is never repeated.
+	Refund Class = "refund"
+	// BalanceRead reads the refunds of the session's till.
+	BalanceRead Class = "balanceRead"
+	// AccountsRun reads several tills in one transaction.
+	AccountsRun Class = "accountsRun"
+)
--- /dev/null
+++ b/io/load/keyed.go
@@ -0,0 +1,84 @@
+package load
+
+import (
+	"fmt"
+
+	"turmericpulley/core/audit"
+	"turmericpulley/core/types"
+)
+
+// keyed follows the attempts of one request and turns them into operations of the history.
+//
+// Without a request key each attempt is an operation of its own. With one, all attempts together are one operation,
+// because they may take effect only once.
+type keyed struct {
+	session    *session
+	customer   types.CustomerID
+	request    request
+	key        types.RequestKey
+	operations []audit.Operation
+	// outcome is that of the whole request so far.
+	outcome audit.Outcome
+}
+
+func (c *caller) newKeyed(r request) *keyed {
+	k := &keyed{session: c.session, customer: c.settings.Customer, request: r}
+	if c.settings.RequestKeys && r.writes() {
+		k.key = types.RequestKey(fmt.Sprintf("%s-%016x", c.session.run, c.random.Uint64()))
+	}
+	return k
+}
+
+// add takes the answer of one attempt and returns the outcome of the request so far.
+func (k *keyed) add(a answer, invoked, returned audit.Moment) audit.Outcome {
+	if a.recorded && k.key != "" {
+		a.outcome = audit.Acknowledged
+	}
+	if k.key == "" || k.outcome == 0 {
+		k.outcome = a.outcome
+		k.operations = append(k.operations, k.newOperations(a, invoked, returned)...)
+		return k.outcome
+	}
+	if k.outcome != audit.Unknown || a.outcome == audit.Acknowledged {
+		k.outcome = a.outcome
+	}
+	for i := range k.operations {
+		k.operations[i].Outcome = k.outcome
+		k.operations[i].Returned = returned
+	}
+	return k.outcome
+}
+
+// mayRepeat reports whether another attempt is safe after the answer.
+func (k *keyed) mayRepeat(a answer) bool {
+	switch a.outcome {
+	case audit.NotRun:
+		return true
+	case audit.Unknown:
+		return k.key != "" || !k.request.writes()
+	default:
+		return false
+	}
+}
+
+// finish adds the operations to the history.
+func (k *keyed) finish(history *audit.History) { history.Add(k.operations...) }
+
+// newOperations returns an operation for each step.
+func (k *keyed) newOperations(a answer, invoked, returned audit.Moment) []audit.Operation {
+	operations := make([]audit.Operation, 0, len(k.request.steps))
+	reads := 0
+	for _, s := range k.request.steps {
+		o := audit.Operation{
+			Session: k.session.name, Customer: k.customer, Kind: s.kind, Value: s.value, RequestKey: k.key,
+			Row:     audit.Row{Database: k.session.database, Key: s.key()},
+			Invoked: invoked, Returned: returned, Outcome: a.outcome, SQLState: a.sqlState,
+		}
+		if s.kind == audit.Read && reads < len(a.values) {
+			o.Value = a.values[reads]
+			reads++
+		}
+		operations = append(operations, o)
+	}
+	return operations
+}
--- /dev/null
+++ b/io/load/kiosk.go
@@ -0,0 +1,56 @@
+package load
+
+import (
+	"math/rand/v2"
+
+	"turmericpulley/core/audit"
+)
+
+const (
+	// returnShare is the share of a kiosk session's writes that return a rental.
+	returnShare = 0.3
+	// refundShare is the share of a kiosk session's writes that refund a deposit.
+	refundShare = 0.3
+	// accountsShare is the share of a kiosk session's reads that are accounts runs.
+	accountsShare = 0.05
+	// accountsTills is the number of tills that one accounts run reads.
+	accountsTills = 5
+)
+
+// newKioskRequest draws a request of the kiosk workload.
+func (s *session) newKioskRequest(random *rand.Rand, writes bool) request {
+	draw := random.Float64()
+	if writes {
+		return s.newKioskWrite(random, draw)
+	}
+	if draw < accountsShare {
+		return s.newAccountsRun(random)
+	}
+	return request{class: BalanceRead, steps: []step{{table: tillTable, id: s.run.counter(s.own), kind: audit.Read}}}
+}
+
+func (s *session) newKioskWrite(random *rand.Rand, draw float64) request {
+	if draw < refundShare {
+		return request{class: Refund, steps: []step{{table: tillTable, id: s.run.counter(s.own), kind: audit.Increment, value: 1}}}
+	}
+	if draw < refundShare+returnShare {
+		if row := s.reserve(random); row != nil {
+			return request{
+				class:    Return,
+				steps:    []step{{table: rentalTable, id: row.id, kind: audit.Write, value: row.version}},
+				finished: func(outcome audit.Outcome) { s.release(row, outcome) },
+			}
+		}
+	}
+	return s.newInsert(Rental, rentalTable)
+}
+
+func (s *session) newAccountsRun(random *rand.Rand) request {
+	first := random.IntN(s.counters)
+	r := request{class: AccountsRun, transaction: true}
+	for i := range min(accountsTills, s.counters) {
+		id := s.run.counter((first + i) % s.counters)
+		r.steps = append(r.steps, step{table: tillTable, id: id, kind: audit.Read})
+	}
+	return r
+}
--- /dev/null
+++ b/io/load/orders.go
@@ -0,0 +1,44 @@
+package load
+
+import (
+	"math/rand/v2"
+
+	"turmericpulley/core/audit"
+)
+
+// confirmShare is the share of an order session's writes that confirm an order.
+const confirmShare = 0.4
+
+// orderReadShare is the share of an order session's reads that read an own order.
+const orderReadShare = 0.3
+
+// newOrdersRequest draws a request of the order workload.
+func (s *session) newOrdersRequest(random *rand.Rand, writes bool) request {
+	if writes {
+		if random.Float64() < confirmShare {
+			if row := s.reserve(random); row != nil {
+				return s.newConfirmOrder(random, row)
+			}
+		}
+		return s.newInsert(PlaceOrder, orderTable)
+	}
+	if random.Float64() < orderReadShare {
+		if id := s.ownID(random); id != "" {
+			return request{class: OrderRead, steps: []step{{table: orderTable, id: id, kind: audit.Read}}}
+		}
+	}
+	id := s.run.counter(random.IntN(s.counters))
+	return request{class: StockRead, steps: []step{{table: stockTable, id: id, kind: audit.Read}}}
+}
+
+func (s *session) newConfirmOrder(random *rand.Rand, row *ownRow) request {
+	return request{
+		class:       ConfirmOrder,
+		transaction: true,
+		steps: []step{
+			{table: orderTable, id: row.id, kind: audit.Write, value: row.version},
+			{table: stockTable, id: s.run.counter(random.IntN(s.counters)), kind: audit.Increment, value: 1},
+		},
+		finished: func(outcome audit.Outcome) { s.release(row, outcome) },
+	}
+}
--- /dev/null
+++ b/io/load/progress.go
@@ -0,0 +1,50 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"time"
+)
+
+const progressInterval = time.Second
+
+// progress writes a line about the run each second.
+type progress struct {
+	stop chan struct{}
+	done sync.WaitGroup
+}
+
+// newProgress starts the lines; a nil writer gets none.
+func newProgress(out io.Writer, rec *recorder) *progress {
+	p := &progress{stop: make(chan struct{})}
+	if out == nil {
+		return p
+	}
+	start := time.Now()
+	p.done.Go(func() {
+		ticker := time.NewTicker(progressInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-p.stop:
+				_, _ = fmt.Fprintln(out)
+				return
+			case <-ticker.C:
+				_, _ = fmt.Fprint(out, progressLine(time.Since(start), rec.snapshot()))
+			}
+		}
+	})
+	return p
+}
+
+func progressLine(elapsed time.Duration, t totals) string {
+	return fmt.Sprintf("\r%4.0f s  %d requests, %d acknowledged (%d writes), %d refused, %d unknown ",
+		elapsed.Seconds(), t.requests, t.acknowledged, t.writes, t.refused, t.unknown)
+}
+
+// Close ends the lines.
+func (p *progress) Close() {
+	close(p.stop)
+	p.done.Wait()
+}
--- /dev/null
+++ b/io/load/recorder.go
@@ -0,0 +1,92 @@
+package load
+
+import (
+	"maps"
+	"sync"
+
+	"turmericpulley/core/audit"
+)
+
+// recorder collects samples and statistics of all callers.
+type recorder struct {
+	mutex   sync.Mutex
+	samples []sample
+	classes map[Class]*classRecord
+	totals  totals
+}
+
+// totals counts requests by what became of them.
+type totals struct {
+	requests     int
+	acknowledged int
+	writes       int
+	unknown      int
+	refused      int
+}
+
+func newRecorder(classes []Class) *recorder {
+	r := &recorder{classes: map[Class]*classRecord{}}
+	for _, class := range classes {
+		r.classes[class] = newClassRecord()
+	}
+	return r
+}
+
+// record adds a finished request.
+func (r *recorder) record(s sample) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.samples = append(r.samples, s)
+	r.classes[s.class].add(s)
+	r.totals.add(s)
+}
+
+// recordRefusal counts an attempt that was refused or broke off.
+func (r *recorder) recordRefusal(class Class, state audit.SQLState) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.classes[class].refusals[state]++
+}
+
+// recordMissed counts a request that found its session's queue full.
+func (r *recorder) recordMissed(class Class) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.classes[class].missed++
+}
+
+// snapshot returns the totals so far.
+func (r *recorder) snapshot() totals {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.totals
+}
+
+// results returns the statistics of each class in the given order.
+func (r *recorder) results(classes []Class) []ClassResult {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	results := make([]ClassResult, 0, len(classes))
+	for _, class := range classes {
+		record := r.classes[class]
+		result := record.result(class)
+		result.Refusals = maps.Clone(record.refusals)
+		results = append(results, result)
+	}
+	return results
+}
+
+func (t *totals) add(s sample) {
+	t.requests++
+	switch s.outcome {
+	case audit.Acknowledged:
+		t.acknowledged++
+		if s.writes {
+			t.writes++
+		}
+	case audit.Unknown:
+		t.unknown++
+	case audit.NotRun, audit.Failed:
+		t.refused++
+	}
+}
--- /dev/null
+++ b/io/load/request.go
@@ -0,0 +1,29 @@
+package load
+
+import (
+	"time"
+
+	"turmericpulley/core/audit"
+)
+
+// request is one unit of work of a session.
+type request struct {
+	class Class
+	// transaction sends the steps between BEGIN and COMMIT.
+	transaction bool
+	steps       []step
+	// intended is when the request was due to start.
+	intended time.Time
+	// finished tells the session how the request ended; nil when it does not matter.
+	finished func(audit.Outcome)
+}
+
+// writes reports whether any step changes a row.
+func (r request) writes() bool {
+	for _, s := range r.steps {
+		if s.kind != audit.Read {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/io/load/run.go
@@ -0,0 +1,90 @@
+package load
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"turmericpulley/core/audit"
+)
+
+// Run generates the load, reads the final state and returns what was measured.
+func Run(ctx context.Context, settings Settings) (Result, error) {
+	if err := settings.check(); err != nil {
+		return Result{}, err
+	}
+	classes, err := settings.Workload.classes()
+	if err != nil {
+		return Result{}, err
+	}
+	run := newRunID()
+	a := auditor{settings: settings, run: run, counters: settings.Sessions}
+	if err := a.prepare(ctx); err != nil {
+		return Result{}, errors.Wrap(err, "preparing the tables")
+	}
+	initial, err := a.read(ctx)
+	if err != nil {
+		return Result{}, errors.Wrap(err, "reading the initial state")
+	}
+	readsBefore := replicaReads(ctx, settings.ReadCounter)
+	m := measure(ctx, settings, run, classes)
+	readsAfter := replicaReads(ctx, settings.ReadCounter)
+	final, err := a.read(ctx)
+	if err != nil {
+		return Result{}, errors.Wrap(err, "reading the final state")
+	}
+	result := m.result(settings, classes)
+	result.ReplicaReadShare = readShare(readsBefore, readsAfter, result.AcknowledgedReads)
+	result.judge(m.history.Operations(), initial, final)
+	return result, nil
+}
+
+// measurement is what the callers of one run recorded.
+type measurement struct {
+	start    time.Time
+	history  *audit.History
+	recorder *recorder
+}
+
+// measure generates the load and waits for the last answer.
+func measure(ctx context.Context, settings Settings, run runID, classes []Class) measurement {
+	m := measurement{start: time.Now(), history: audit.NewHistory(), recorder: newRecorder(classes)}
+	lines := newProgress(settings.Progress, m.recorder)
+	g := newGenerator(ctx, settings, run, m.history, m.recorder)
+	g.generate(ctx)
+	g.Close()
+	lines.Close()
+	return m
+}
+
+// result returns the statistics of the run.
+func (m measurement) result(settings Settings, classes []Class) Result {
+	t := m.recorder.totals
+	gaps := newGaps(m.recorder.samples, settings.Databases, m.start)
+	return Result{
+		Workload:           settings.Workload,
+		Customer:           settings.Customer,
+		Seed:               settings.Seed,
+		Duration:           milliseconds(time.Since(m.start)),
+		Requests:           t.requests,
+		AcknowledgedWrites: t.writes,
+		AcknowledgedReads:  t.acknowledged - t.writes,
+		FailoverGap:        longest(gaps),
+		Classes:            m.recorder.results(classes),
+		Gaps:               gaps,
+		Timeline:           newTimeline(m.recorder.samples, m.start),
+	}
+}
+
+// judge adds the verdict on the history.
+func (r *Result) judge(operations []audit.Operation, initial, final audit.State) {
+	verdict := audit.Check(operations, initial, final)
+	r.LostWrites = verdict.LostWrites
+	r.DoubledWrites = verdict.DoubledWrites
+	r.FalseRefusals = verdict.FalseRefusals
+	r.StaleReads = verdict.StaleReads
+	r.Findings = verdict.Findings
+	r.Linearizable = audit.Linearizable(operations, initial)
+	r.Operations = operations
+}
--- /dev/null
+++ b/io/load/sample.go
@@ -0,0 +1,22 @@
+package load
+
+import (
+	"time"
+
+	"turmericpulley/core/audit"
+	"turmericpulley/core/types"
+)
+
+// sample is what the recorder keeps of one request.
+type sample struct {
+	class    Class
+	database types.DatabaseID
+	writes   bool
+	outcome  audit.Outcome
+	intended time.Time
+	started  time.Time
+	returned time.Time
+}
+
+// latency returns the time from the intended start to the answer.
+func (s sample) latency() time.Duration { return s.returned.Sub(s.intended) }
--- /dev/null
+++ b/io/load/settings.go
@@ -0,0 +1,64 @@
+package load
+
+import (
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"turmericpulley/core/types"
+)
+
+// Settings says what load to generate.
+type Settings struct {
+	// Addresses lists the callers' addresses of the instances.
+	Addresses []string
+	Workload  Workload
+	Customer  types.CustomerID
+	Databases []types.DatabaseID
+	Rate      Rate
+	Duration  time.Duration
+	Sessions  int
+	// Connections is the number of callers of one session that work at once.
+	Connections int
+	// Roam is the number of requests after which a caller moves to another instance; zero lets it stay.
+	Roam int
+	// WriteShare is the share of requests that write, from 0 to 1.
+	WriteShare float64
+	// RequestTimeout is the longest that a caller waits for one answer.
+	RequestTimeout time.Duration
+	// RequestKeys sends writes under a request key and repeats those with an unknown outcome.
+	RequestKeys bool
+	// Seed determines the requests and their intended starts.
+	Seed uint64
+	// ReadCounter says how the share of replica reads is learned; nil means that it is not.
+	ReadCounter ReadCounter
+	// Progress receives a line each second; nil means none.
+	Progress io.Writer
+}
+
+// check returns an error that names the first setting that cannot be used.
+func (s Settings) check() error {
+	if _, err := s.Workload.classes(); err != nil {
+		return err
+	}
+	switch {
+	case len(s.Addresses) == 0:
+		return errors.New("no addresses of instances: give at least one")
+	case len(s.Databases) == 0:
+		return errors.New("no databases: give at least one")
+	case s.Customer == "":
+		return errors.New("no customer: give the user name that the contract is for")
+	case s.Rate <= 0:
+		return errors.Errorf("rate %v is not above zero: give requests per second", s.Rate)
+	case s.Duration <= 0:
+		return errors.Errorf("duration %v is not above zero", s.Duration)
+	case s.Sessions < 1 || s.Connections < 1:
+		return errors.New("sessions and connections per session must be at least one")
+	case s.WriteShare < 0 || s.WriteShare > 1:
+		return errors.Errorf("write share %v is outside 0 to 1", s.WriteShare)
+	case s.RequestTimeout <= 0:
+		return errors.Errorf("request timeout %v is not above zero", s.RequestTimeout)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/load/statements.go
@@ -0,0 +1,48 @@
+package load
+
+import "turmericpulley/core/audit"
+
+// table is one table of a workload; every table has the text columns key and value and key is unique.
+type table string
+
+const (
+	orderTable  table = "orders"
+	stockTable  table = "stock"
+	rentalTable table = "rentals"
+	tillTable   table = "tills"
+)
+
+// scan returns the statement that reads the rows whose keys match $1.
+func (t table) scan() string { return "SELECT key, value FROM " + string(t) + " WHERE key LIKE $1" }
+
+// statement returns the statement for an operation; $1 is the key and $2 the value.
+func (t table) statement(kind audit.Kind) string {
+	switch kind {
+	case audit.Insert:
+		return "INSERT INTO " + string(t) + " (key, value) VALUES ($1, $2)"
+	case audit.Write:
+		return "UPDATE " + string(t) + " SET value = $2 WHERE key = $1"
+	case audit.Increment:
+		return "UPDATE " + string(t) + " SET value = value::bigint + $2::bigint WHERE key = $1"
+	case audit.Read:
+		return "SELECT value FROM " + string(t) + " WHERE key = $1"
+	default:
+		return ""
+	}
+}
+
+// rows returns the table of the rows that sessions insert.
+func (w Workload) rows() table {
+	if w == Kiosk {
+		return rentalTable
+	}
+	return orderTable
+}
+
+// counters returns the table of the rows that sessions increment.
+func (w Workload) counters() table {
+	if w == Kiosk {
+		return tillTable
+	}
+	return stockTable
+}
