feat: remember what happened to recent requests

An operator who asks why a request was slow or refused needs its steps at every instance. Seen failing first: a free slot evicted request 0 (TestFreeSlotsEvictNothing).

--- /dev/null
+++ b/core/trace/doc.go
@@ -0,0 +1,2 @@
+// Package trace remembers what happened to recent requests, so that an operator can have one explained.
+package trace
--- /dev/null
+++ b/core/trace/trace_test.go
@@ -0,0 +1,128 @@
+package trace_test
+
+import (
+	"encoding/json"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"turmericpulley/core/trace"
+	"turmericpulley/core/types"
+)
+
+func TestTrailKeepsEventsInOrder(t *testing.T) {
+	recorder := trace.New("i1", 64)
+	recorder.Begin(0xabc, "sencnik", "lj", "desk")
+	recorder.Add(0xabc, trace.Event{What: trace.Received})
+	recorder.Begin(0xabc, "other", "other", "other")
+	recorder.Add(0xabc, trace.Event{What: trace.Sent, Target: "lj-a", Term: 3, Replica: true})
+	recorder.Add(0xdef, trace.Event{What: trace.Received})
+	trail, found := recorder.Find(0xabc)
+	require.True(t, found)
+	require.Equal(t, types.CustomerID("sencnik"), trail.Customer)
+	require.Len(t, trail.Events, 2)
+	require.False(t, trail.Events[0].At.IsZero())
+	require.Equal(t, "sent to the target, replica lj-a, term 3", trail.Events[1].Words())
+	_, found = recorder.Find(0xdef)
+	require.False(t, found)
+
+	data, err := json.Marshal(trail)
+	require.NoError(t, err)
+	require.Contains(t, string(data), `"requestId":"abc"`)
+	var back trace.Trail
+	require.NoError(t, json.Unmarshal(data, &back))
+	require.Equal(t, trail.RequestID, back.RequestID)
+	_, err = trace.ParseID("xyz")
+	require.Error(t, err)
+}
+
+func TestTrailsAreBounded(t *testing.T) {
+	const capacity, requests = 32, 1000
+	recorder := trace.New("i1", capacity)
+	for id := range types.RequestID(requests) {
+		recorder.Begin(id, "c", "d", "s")
+		for range 100 {
+			recorder.Add(id, trace.Event{What: trace.Sent})
+		}
+	}
+	held := 0
+	for id := range types.RequestID(requests) {
+		if trail, found := recorder.Find(id); found {
+			held++
+			require.Len(t, trail.Events, 32)
+			require.Equal(t, 68, trail.Dropped)
+		}
+	}
+	require.Equal(t, capacity, held)
+	_, found := recorder.Find(requests - 1)
+	require.True(t, found)
+}
+
+func TestFreeSlotsEvictNothing(t *testing.T) {
+	const requests = 100
+	recorder := trace.New("i1", trace.DefaultCapacity)
+	for id := range types.RequestID(requests) {
+		recorder.Begin(id, "c", "d", "s")
+	}
+	for id := range types.RequestID(requests) {
+		_, found := recorder.Find(id)
+		require.True(t, found, "request %d", id)
+	}
+}
+
+func TestRecorderMatchesModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		recorder := trace.New("i1", trace.DefaultCapacity)
+		model := map[types.RequestID]int{}
+		for range rapid.IntRange(0, 100).Draw(t, "steps") {
+			id := types.RequestID(rapid.IntRange(0, 9).Draw(t, "id"))
+			if rapid.Bool().Draw(t, "begin") {
+				recorder.Begin(id, "c", "d", "s")
+				model[id] += 0
+			} else if _, begun := model[id]; begun {
+				recorder.Add(id, trace.Event{What: trace.Sent})
+				model[id]++
+			} else {
+				recorder.Add(id, trace.Event{What: trace.Sent})
+			}
+		}
+		for id := range types.RequestID(10) {
+			count, begun := model[id]
+			trail, found := recorder.Find(id)
+			require.Equal(t, begun, found)
+			require.Equal(t, count, len(trail.Events)+trail.Dropped)
+		}
+	})
+}
+
+func TestRecorderIsSafeForConcurrentUse(t *testing.T) {
+	recorder := trace.New("i1", 16)
+	var group sync.WaitGroup
+	for range 8 {
+		group.Go(func() {
+			for id := range types.RequestID(500) {
+				recorder.Begin(id, "c", "d", "s")
+				recorder.Add(id, trace.Event{What: trace.Sent})
+				if trail, found := recorder.Find(id); found {
+					require.Equal(t, trace.ID(id), trail.RequestID)
+				}
+			}
+		})
+	}
+	group.Wait()
+}
+
+func BenchmarkRequest(b *testing.B) {
+	recorder := trace.New("i1", trace.DefaultCapacity)
+	b.ReportAllocs()
+	id := types.RequestID(0)
+	for b.Loop() {
+		id++
+		recorder.Begin(id, "c", "d", "s")
+		for range 6 {
+			recorder.Add(id, trace.Event{What: trace.Sent, Target: "t"})
+		}
+	}
+}
