--- a/core/class/writes.go
+++ b/core/class/writes.go
@@ -17,8 +17,12 @@
 	return &Writes{current: map[uint64]struct{}{}, older: map[uint64]struct{}{}}
 }
 
-// Learn adds a statement; when the set is full the half that was learned first is forgotten.
+// Learn adds a statement; when the set is full the half that was learned first is forgotten. Zero
+// stands for a statement without a hash and is not kept.
 func (w *Writes) Learn(statement uint64) {
+	if statement == 0 {
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if len(w.current) >= maxStatements/2 {
--- /dev/null
+++ b/io/owner/commit.go
@@ -0,0 +1,92 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"turmericpulley/core/fault"
+	"turmericpulley/core/quorum"
+	"turmericpulley/core/types"
+)
+
+// awaitCommitted waits until a majority of members holds the position that the primary of the term reported.
+func (s *state) awaitCommitted(ctx context.Context, term types.Term, position types.Position) error {
+	s.mu.Lock()
+	if s.phase == lost || term < s.term {
+		s.mu.Unlock()
+		return fault.New(fault.OutcomeUnknown, "the primary was replaced before a majority confirmed the write")
+	}
+	if term == s.term && position <= s.committed {
+		s.mu.Unlock()
+		return nil
+	}
+	w := &commitWaiter{term: term, position: position, done: make(chan error, 1)}
+	s.waiters[w] = struct{}{}
+	s.position = max(s.position, position)
+	if s.behindSince.IsZero() {
+		s.behindSince = time.Now()
+	}
+	s.mu.Unlock()
+
+	select {
+	case err := <-w.done:
+		return err
+	case <-ctx.Done():
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.waiters, w)
+		return fault.New(fault.OutcomeUnknown, "the request's time ended before a majority confirmed it")
+	}
+}
+
+func (s *state) releaseLocked() {
+	for w := range s.waiters {
+		if w.term == s.term && w.position <= s.committed {
+			delete(s.waiters, w)
+			w.done <- nil
+		}
+	}
+}
+
+// adopt starts to serve with a primary. elected is the log it was elected for, nil when it was found already promoted.
+//
+// Waiting writes that the elected log holds stay waiting for the first entry of the new term, which confirms all before
+// it; the others can no longer be confirmed.
+func (s *state) adopt(primary quorum.Observation, elected *quorum.Status) (confirmedLate int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.phase == lost {
+		return 0
+	}
+	for w := range s.waiters {
+		if elected != nil && elected.LogTerm == w.term && w.position <= elected.Position {
+			w.term = primary.Term
+			w.position = elected.Position + 1
+			confirmedLate++
+			continue
+		}
+		if w.term == primary.Term {
+			continue
+		}
+		delete(s.waiters, w)
+		w.done <- fault.New(fault.OutcomeUnknown, "the primary was replaced before a majority confirmed the write")
+	}
+	s.phase = serving
+	s.primary = primary.Target
+	s.term = primary.Term
+	s.committed = 0
+	s.position = primary.Position
+	s.behindSince = time.Time{}
+	s.ages.Reset()
+	s.observations[primary.Target] = primary
+	s.observePrimaryLocked(primary)
+	s.signalLocked()
+	return confirmedLate
+}
+
+// behind reports whether no majority has confirmed anything for longer than the limit while writes wait.
+func (s *state) behind(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.position > s.committed && !s.behindSince.IsZero() && now.Sub(s.behindSince) > behindLimit
+}
--- /dev/null
+++ b/io/owner/counters.go
@@ -0,0 +1,35 @@
+package owner
+
+import "sync/atomic"
+
+// Counters count what owners did since the instance started.
+type Counters struct {
+	// ReplicaReads counts transactions answered by replicas.
+	ReplicaReads atomic.Int64
+	// PrimaryTransactions counts transactions answered by primaries.
+	PrimaryTransactions atomic.Int64
+	// Refusals counts transactions refused before they ran.
+	Refusals atomic.Int64
+	// Unknown counts transactions whose outcome is unknown.
+	Unknown atomic.Int64
+	// Retries counts attempts after the first.
+	Retries atomic.Int64
+	// Promotions counts primaries promoted.
+	Promotions atomic.Int64
+	// Claims counts databases taken over.
+	Claims atomic.Int64
+	// Losses counts databases lost to another owner.
+	Losses atomic.Int64
+	// Dials counts connections opened to targets.
+	Dials atomic.Int64
+	// Condemned counts connections thrown away because their state was in doubt.
+	Condemned atomic.Int64
+	// ConfirmedLate counts writes confirmed after a promotion that kept them.
+	ConfirmedLate atomic.Int64
+	// Discarded counts unacknowledged log entries that returning primaries gave up.
+	Discarded atomic.Int64
+	// Repeats counts requests answered from the record of their request key.
+	Repeats atomic.Int64
+	// MonitorCalls counts calls made to watch members.
+	MonitorCalls atomic.Int64
+}
--- /dev/null
+++ b/io/owner/exchange.go
@@ -0,0 +1,39 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// exchange sends a batch, preceded by the session's settings, and lets read take in the answer. The connection's deadline
+// follows the context; when the context ends first the target is asked to stop the statement.
+func (t *transaction) exchange(ctx context.Context, c *pooled, payload []byte, read func() error) error {
+	prefix, statements := t.prefix(c)
+	if len(prefix) > 0 {
+		payload = append(prefix, payload...)
+	}
+	t.running.Store(c.Conn)
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	err := c.Send(payload)
+	if err == nil {
+		err = skipPrefix(c, statements)
+	}
+	if err == nil {
+		err = read()
+	}
+	t.running.Store(nil)
+	if stop() {
+		return err
+	}
+	stopStatement(c)
+	return errors.Wrap(ctx.Err(), "waiting for a target's answer")
+}
+
+// stopStatement asks the target to stop what a condemned connection still runs.
+func stopStatement(c *pooled) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	_ = c.Cancel(ctx)
+}
--- /dev/null
+++ b/io/owner/keyed.go
@@ -0,0 +1,191 @@
+package owner
+
+import (
+	"context"
+	"encoding/binary"
+
+	"turmericpulley/core/fault"
+	"turmericpulley/io/pgcli"
+)
+
+const (
+	stateUniqueViolation = "23505"
+
+	tagBegin  = "BEGIN"
+	tagCommit = "COMMIT"
+)
+
+// runKeyed runs a batch together with a record of its request key in one transaction, so that the request runs at most
+// once; a repeat is answered from the record.
+func (t *transaction) runKeyed(ctx context.Context, payload []byte, ended bool) error {
+	if !ended {
+		return fault.New(fault.ProtocolViolation, "a request with a key must be sent as one batch")
+	}
+	g, err := t.primaryConnection(ctx)
+	if err != nil {
+		return err
+	}
+	t.attempts++
+	key := quote(t.begin.GetCustomer() + "/" + t.begin.GetRequestKey())
+	repeated, err := t.openKeyed(ctx, g, key)
+	if pgcli.SQLState(err) != "" {
+		return t.refuseKeyed(ctx, g, err)
+	}
+	if err != nil {
+		g.release(false)
+		return t.primaryFailed(ctx, g, err)
+	}
+	if repeated {
+		return t.answerRepeat(ctx, g, key, payload)
+	}
+	var a answer
+	if err := t.primaryBatch(ctx, g, payload, true, &a); err != nil {
+		g.release(false)
+		return t.primaryFailed(ctx, g, err)
+	}
+	if a.status != pgcli.StatusInTransaction || a.failed {
+		return t.rollBackKeyed(ctx, g, &a)
+	}
+	if a.tag == tagBegin {
+		return t.keyedBlock(ctx, g, key, &a)
+	}
+	return t.commitKeyed(ctx, g, key, &a)
+}
+
+// keyedBlock goes on with a transaction block of the caller's, which commits the record with its own work.
+func (t *transaction) keyedBlock(ctx context.Context, g grant, key string, a *answer) error {
+	if err := t.statement(ctx, g, updateRecord(key, tagCommit)); err != nil {
+		g.release(false)
+		return t.primaryFailed(ctx, g, err)
+	}
+	return t.continueBlock(ctx, g.conn, g.pool, g.target, false, a)
+}
+
+// refuseKeyed gives up before the request itself was sent, such as when another run of it holds the record.
+func (t *transaction) refuseKeyed(ctx context.Context, g grant, cause error) error {
+	if err := t.statement(ctx, g, "ROLLBACK"); err != nil {
+		g.release(false)
+	} else {
+		g.release(true)
+	}
+	return fault.New(fault.QueueTimeout, "the request key could not be recorded: "+cause.Error())
+}
+
+func updateRecord(key, tag string) string {
+	return "UPDATE pulley_requests SET value = " + quote(tag) + " WHERE key = " + key
+}
+
+// openKeyed opens a transaction and inserts the record; repeated tells that it exists.
+func (t *transaction) openKeyed(ctx context.Context, g grant, key string) (repeated bool, err error) {
+	var a answer
+	sql := "BEGIN; INSERT INTO pulley_requests (key, value) VALUES (" + key + ", '')"
+	if err := t.primaryBatch(ctx, g, pgcli.EncodeQuery(nil, sql), true, &a); err != nil {
+		return false, err
+	}
+	if a.sqlState == stateUniqueViolation {
+		return true, t.statement(ctx, g, "ROLLBACK")
+	}
+	if a.failed {
+		return false, &pgcli.ServerError{SQLState: a.sqlState, Message: "recording the request key failed"}
+	}
+	return false, nil
+}
+
+func (t *transaction) statement(ctx context.Context, g grant, sql string) error {
+	var a answer
+	if err := t.primaryBatch(ctx, g, pgcli.EncodeQuery(nil, sql), true, &a); err != nil {
+		return err
+	}
+	if a.failed {
+		return &pgcli.ServerError{SQLState: a.sqlState, Message: "statement " + sql + " failed"}
+	}
+	return nil
+}
+
+// rollBackKeyed gives up a request that failed, its record included, and relays the target's error.
+func (t *transaction) rollBackKeyed(ctx context.Context, g grant, a *answer) error {
+	if err := t.statement(ctx, g, "ROLLBACK"); err != nil {
+		g.release(false)
+		return t.primaryFailed(ctx, g, err)
+	}
+	setStatus(a.held, pgcli.StatusIdle)
+	return t.confirm(ctx, g, a)
+}
+
+func (t *transaction) commitKeyed(ctx context.Context, g grant, key string, a *answer) error {
+	if err := t.statement(ctx, g, updateRecord(key, a.tag)); err != nil {
+		g.release(false)
+		return t.primaryFailed(ctx, g, err)
+	}
+	if err := t.statement(ctx, g, "COMMIT"); err != nil {
+		g.release(false)
+		return t.primaryFailed(ctx, g, err)
+	}
+	setStatus(a.held, pgcli.StatusIdle)
+	return t.confirm(ctx, g, a)
+}
+
+// answerRepeat answers from the record that the first run of the request left.
+func (t *transaction) answerRepeat(ctx context.Context, g grant, key string, payload []byte) error {
+	row, err := g.conn.Query("SELECT value FROM pulley_requests WHERE key = "+key, controlTimeout)
+	if err != nil || row == nil {
+		g.release(false)
+		return fault.New(fault.OutcomeUnknown, "the record of the request key could not be read")
+	}
+	t.owner.settings.Counters.Repeats.Add(1)
+	if row["value"] == tagCommit {
+		g.release(true)
+		return fault.New(fault.AlreadyRun, "the transaction block with this request key was committed before")
+	}
+	t.trail("answered from the record of the request key", g.target, g.term)
+	a := answer{held: recordedAnswer(payload, row["value"])}
+	return t.confirm(ctx, g, &a)
+}
+
+// setStatus changes the status of the ReadyForQuery that ends the messages.
+func setStatus(held []byte, status byte) {
+	if len(held) > 0 {
+		held[len(held)-1] = status
+	}
+}
+
+// recordedAnswer builds the answer that each message of a batch expects, with the recorded tag for each command.
+func recordedAnswer(payload []byte, tag string) []byte {
+	var out []byte
+	for len(payload) >= pgHeaderBytes {
+		length := int(binary.BigEndian.Uint32(payload[1:])) + 1
+		if length > len(payload) {
+			break
+		}
+		switch payload[0] {
+		case 'P':
+			out = appendMessage(out, '1', nil)
+		case 'B':
+			out = appendMessage(out, '2', nil)
+		case 'C':
+			out = appendMessage(out, '3', nil)
+		case 'D':
+			if payload[pgHeaderBytes] == 'S' {
+				out = appendMessage(out, 't', []byte{0, 0})
+			}
+			out = appendMessage(out, 'n', nil)
+		case 'E':
+			out = appendMessage(out, pgcli.TypeCommandComplete, append([]byte(tag), 0))
+		case 'Q':
+			out = appendMessage(out, pgcli.TypeCommandComplete, append([]byte(tag), 0))
+			out = appendMessage(out, pgcli.TypeReadyForQuery, []byte{pgcli.StatusIdle})
+		case 'S':
+			out = appendMessage(out, pgcli.TypeReadyForQuery, []byte{pgcli.StatusIdle})
+		}
+		payload = payload[length:]
+	}
+	return out
+}
+
+const pgHeaderBytes = 5
+
+func appendMessage(out []byte, kind byte, body []byte) []byte {
+	out = append(out, kind)
+	out = binary.BigEndian.AppendUint32(out, uint32(len(body)+pgHeaderBytes-1))
+	return append(out, body...)
+}
--- /dev/null
+++ b/io/owner/monitor.go
@@ -0,0 +1,99 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"turmericpulley/core/quorum"
+	"turmericpulley/core/types"
+	"turmericpulley/io/pgcli"
+)
+
+const (
+	stateObjectNotInState = "55000"
+	stateCannotConnectNow = "57P03"
+)
+
+// monitor keeps a claim on one member and watches it until the context ends or the ownership is lost.
+func (o *Owner) monitor(ctx context.Context, m *member) {
+	failures := 0
+	pause := monitorRetryMin
+	claimedBefore := false
+	for ctx.Err() == nil {
+		watched, err := o.watchOnce(ctx, m, &claimedBefore)
+		if o.refusedForEpoch(err) {
+			o.state.lose(0)
+			return
+		}
+		if watched {
+			failures = 0
+			pause = monitorRetryMin
+			continue
+		}
+		failures++
+		if failures >= failuresUntilDown {
+			o.state.markDown(m.info.Target)
+			m.pool.dropIdle()
+		}
+		if !wait(ctx, pause) {
+			return
+		}
+		pause = min(2*pause, monitorRetryMax)
+	}
+}
+
+// watchOnce connects, claims and watches until something fails; watched tells that at least the claim succeeded.
+func (o *Owner) watchOnce(ctx context.Context, m *member, claimedBefore *bool) (watched bool, err error) {
+	c, err := dialControl(ctx, o.settings, m.info)
+	if err != nil {
+		return false, err
+	}
+	defer c.close()
+	stop := context.AfterFunc(ctx, c.close)
+	defer stop()
+	observed, err := c.claim(o.settings.Epoch)
+	if err != nil {
+		return false, err
+	}
+	if !*claimedBefore {
+		o.state.claimed(observed)
+		*claimedBefore = true
+	}
+	for {
+		if observed.Target != m.info.Target {
+			return false, errWrongMember(m.info, observed.Target)
+		}
+		if !o.state.observe(observed) {
+			return true, nil
+		}
+		o.settings.Counters.MonitorCalls.Add(1)
+		if observed, err = c.watch(watchAfter(observed)); err != nil {
+			return true, err
+		}
+	}
+}
+
+func watchAfter(o quorum.Observation) types.Position {
+	if o.Role == quorum.Primary {
+		return o.Committed
+	}
+	return o.Applied
+}
+
+// refusedForEpoch reports whether a member answered that a newer owner has claimed it.
+func (o *Owner) refusedForEpoch(err error) bool {
+	state := pgcli.SQLState(err)
+	return state == stateObjectNotInState || state == stateCannotConnectNow
+}
+
+// wait pauses and reports whether the context is still alive.
+func wait(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/io/owner/prefix.go
@@ -0,0 +1,54 @@
+package owner
+
+import (
+	"strings"
+
+	"turmericpulley/io/pgcli"
+)
+
+const (
+	resetStatement  = "DISCARD ALL"
+	customerSetting = "pulley.customer"
+)
+
+// prefix returns the statements that give a connection the session's settings, and how many there are; nothing is
+// needed when the same session used the connection last.
+func (t *transaction) prefix(c *pooled) (payload []byte, statements int) {
+	settings := strings.Join(t.begin.GetSettings(), ";")
+	if c.used && c.session == t.session && c.settings == settings {
+		return nil, 0
+	}
+	if c.used {
+		payload = pgcli.EncodeQuery(payload, resetStatement)
+		statements++
+	}
+	payload = pgcli.EncodeQuery(payload, "SET "+customerSetting+" = "+quote(t.begin.GetCustomer()))
+	statements++
+	for _, s := range t.begin.GetSettings() {
+		payload = pgcli.EncodeQuery(payload, s)
+		statements++
+	}
+	c.used = true
+	c.session = t.session
+	c.settings = settings
+	return payload, statements
+}
+
+// quote writes text as a string literal.
+func quote(text string) string {
+	return "'" + strings.ReplaceAll(text, "'", "''") + "'"
+}
+
+// skipPrefix reads the answers to the statements of a prefix.
+func skipPrefix(c *pooled, statements int) error {
+	for statements > 0 {
+		m, err := c.Read()
+		if err != nil {
+			return err
+		}
+		if m.Type == pgcli.TypeReadyForQuery {
+			statements--
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/io/owner/primary.go
@@ -0,0 +1,180 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"turmericpulley/core/fault"
+	"turmericpulley/core/types"
+	"turmericpulley/io/pgcli"
+)
+
+// primaryRetryPause is the pause before the primary is looked up again after it could not be reached.
+const primaryRetryPause = 20 * time.Millisecond
+
+// grant is a connection to the primary of a term.
+type grant struct {
+	conn   *pooled
+	pool   *pool
+	target types.TargetID
+	term   types.Term
+}
+
+func (g grant) release(clean bool) { g.pool.put(g.conn, clean) }
+
+// runOnPrimary runs a transaction on the primary. Once a batch has been sent it is never sent again, unless the target's
+// own refusal proves that it did not run.
+func (t *transaction) runOnPrimary(ctx context.Context, payload []byte, ended bool) error {
+	for {
+		g, err := t.primaryConnection(ctx)
+		if err != nil {
+			return err
+		}
+		t.attempts++
+		var a answer
+		if err := t.primaryBatch(ctx, g, payload, ended, &a); err != nil {
+			g.release(false)
+			return t.primaryFailed(ctx, g, err)
+		}
+		if a.refusedWrite && a.status == pgcli.StatusIdle && !t.relayed && !t.begin.GetReadOnly() {
+			g.release(true)
+			t.trail("the primary was replaced and refused the write", g.target, g.term)
+			if !wait(ctx, primaryRetryPause) {
+				return fault.New(fault.NoPrimary, "the database has no primary")
+			}
+			continue
+		}
+		if a.status == pgcli.StatusIdle {
+			return t.confirm(ctx, g, &a)
+		}
+		return t.continueBlock(ctx, g.conn, g.pool, g.target, false, &a)
+	}
+}
+
+// primaryConnection waits for a primary and a connection to it; nothing has been sent when it fails.
+func (t *transaction) primaryConnection(ctx context.Context) (grant, error) {
+	until := time.Now().Add(t.limits.QueueTimeout)
+	for {
+		target, term, err := t.awaitPrimary(ctx, until)
+		if err != nil {
+			return grant{}, err
+		}
+		if t.owner.state.behind(time.Now()) {
+			return grant{}, fault.New(fault.ReplicationBehind, "no majority of members keeps up with the primary")
+		}
+		p := t.owner.members[target].pool
+		c, err := p.take(ctx, t.session.Customer, t.limits)
+		if f := fault.From(err); f != nil {
+			return grant{}, f
+		}
+		if err == nil {
+			g := grant{conn: c, pool: p, target: target, term: term}
+			if t.owner.state.isServing(target, term) {
+				return g, nil
+			}
+			g.release(true)
+		}
+		if time.Now().After(until) || !wait(ctx, primaryRetryPause) {
+			return grant{}, fault.New(fault.NoPrimary, "the primary could not be reached in time")
+		}
+	}
+}
+
+func (t *transaction) awaitPrimary(ctx context.Context, until time.Time) (types.TargetID, types.Term, error) {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	for {
+		changed := t.owner.state.changes()
+		target, term, p := t.owner.state.serving()
+		switch p {
+		case serving:
+			return target, term, nil
+		case lost:
+			return "", 0, errLost()
+		case claiming, electing, switching:
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return "", 0, fault.New(fault.NoPrimary, "the database has no primary")
+		case <-ctx.Done():
+			return "", 0, fault.New(fault.NoPrimary, "the database has no primary")
+		}
+	}
+}
+
+// primaryBatch sends one batch and reads the answer; what follows the first completed command is held back.
+func (t *transaction) primaryBatch(ctx context.Context, g grant, payload []byte, ended bool, a *answer) error {
+	return t.exchange(ctx, g.conn, payload, func() error {
+		if !ended {
+			go t.feed(ctx, g.conn)
+		}
+		for !a.ended() {
+			m, err := g.conn.Read()
+			if err != nil {
+				return err
+			}
+			a.add(m)
+			if len(a.held) > heldBytes {
+				return errors.New("the answer after a completed command is too large to hold; send smaller batches")
+			}
+			if !a.ended() && t.mayRelay(g, a, ended) && t.owner.state.leaseHolds() {
+				if err := t.relay(a.take()); err != nil {
+					return err
+				}
+			}
+		}
+		return nil
+	})
+}
+
+func (t *transaction) mayRelay(g grant, a *answer, ended bool) bool {
+	if ended {
+		return !a.completed && len(a.held) > frameBytes
+	}
+	return !g.conn.Pending()
+}
+
+// feed sends the rest of a batch whose first part ended with a flush.
+func (t *transaction) feed(ctx context.Context, c *pooled) {
+	for {
+		payload, ended, err := t.batch(ctx)
+		if err != nil {
+			return
+		}
+		if err := c.Send(payload); err != nil || ended {
+			return
+		}
+	}
+}
+
+// confirm waits until a majority holds what the answer covers, then answers.
+func (t *transaction) confirm(ctx context.Context, g grant, a *answer) error {
+	position := g.conn.Position()
+	g.release(true)
+	if err := t.owner.state.awaitCommitted(ctx, g.term, position); err != nil {
+		return err
+	}
+	if !t.owner.state.leaseHolds() {
+		return fault.New(fault.OutcomeUnknown, "the owner could not confirm that it still owns the database")
+	}
+	t.owner.floors.Note(t.session, position)
+	t.trail("answered by the primary", g.target, g.term)
+	return t.finish(a.take(), g.target, false, g.term, position)
+}
+
+func (t *transaction) primaryFailed(ctx context.Context, g grant, err error) error {
+	t.trail("the primary did not answer", g.target, g.term)
+	switch {
+	case errors.Is(err, errCallerGone):
+		return err
+	case errors.Is(ctx.Err(), context.Canceled):
+		return errCallerGone
+	case ctx.Err() != nil:
+		return fault.New(fault.StatementTimeout, "the request took longer than its time")
+	default:
+		return fault.New(fault.OutcomeUnknown, "the connection to the primary broke after the request was sent")
+	}
+}
--- /dev/null
+++ b/io/owner/promote.go
@@ -0,0 +1,111 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"turmericpulley/core/quorum"
+	"turmericpulley/core/types"
+)
+
+// promote fences a majority of the members that can be reached, the excluded one apart, and promotes the best of them.
+func (c *conductor) promote(ctx context.Context, now time.Time, exclude types.TargetID) {
+	if now.Sub(c.lastPromotion) < promotionPause {
+		return
+	}
+	c.lastPromotion = now
+	o := c.owner
+	up := o.state.up()
+	statuses := make([]quorum.Status, 0, len(up))
+	voters := make([]types.TargetID, 0, len(up))
+	for _, observed := range up {
+		statuses = append(statuses, observed.Status)
+		if observed.Target != exclude {
+			voters = append(voters, observed.Target)
+		}
+	}
+	if len(voters) < o.state.majority {
+		return
+	}
+	term := quorum.NextTerm(statuses)
+	fenced := o.fenceAll(ctx, voters, term)
+	winner, ok := quorum.Elect(fenced, term, o.state.majority)
+	if !ok {
+		o.settings.Logger.Warn("no majority could be fenced", "term", term, "fenced", len(fenced))
+		return
+	}
+	o.promoteWinner(ctx, winner, term, fenced)
+}
+
+func (o *Owner) promoteWinner(ctx context.Context, winner types.TargetID, term types.Term, fenced []quorum.Status) {
+	observed, err := o.callMember(ctx, winner, func(c *control) (quorum.Observation, error) {
+		return c.promote(o.settings.Epoch, term)
+	})
+	if err != nil {
+		o.settings.Logger.Warn("promotion failed", "target", winner, "term", term, "error", err)
+		return
+	}
+	o.settings.Counters.Promotions.Add(1)
+	for i := range fenced {
+		if fenced[i].Target == winner {
+			o.adopt(observed, &fenced[i])
+		}
+	}
+	var follows sync.WaitGroup
+	for _, s := range fenced {
+		if s.Target != winner {
+			follows.Go(func() { o.followPrimary(ctx, s.Target, winner, term) })
+		}
+	}
+	follows.Wait()
+}
+
+func (o *Owner) fenceAll(ctx context.Context, voters []types.TargetID, term types.Term) []quorum.Status {
+	results := make(chan *quorum.Status, len(voters))
+	for _, target := range voters {
+		go func() {
+			observed, err := o.callMember(ctx, target, func(c *control) (quorum.Observation, error) {
+				return c.fence(o.settings.Epoch, term)
+			})
+			if err != nil {
+				results <- nil
+				return
+			}
+			results <- &observed.Status
+		}()
+	}
+	var fenced []quorum.Status
+	for range voters {
+		if s := <-results; s != nil {
+			fenced = append(fenced, *s)
+		}
+	}
+	return fenced
+}
+
+// followPrimary points a member at the primary.
+func (o *Owner) followPrimary(ctx context.Context, target, primary types.TargetID, term types.Term) {
+	address := o.members[primary].info.Address
+	observed, err := o.callMember(ctx, target, func(c *control) (quorum.Observation, error) {
+		return c.follow(o.settings.Epoch, term, address)
+	})
+	if err != nil {
+		o.settings.Logger.Debug("a member does not follow yet", "target", target, "error", err)
+		return
+	}
+	o.settings.Counters.Discarded.Add(int64(observed.Discarded))
+	o.members[target].pool.dropIdle()
+	o.state.observe(observed)
+	o.settings.Logger.Info("member follows", "target", target, "primary", primary, "term", term, "discarded", observed.Discarded)
+}
+
+func (o *Owner) callMember(ctx context.Context, target types.TargetID, call func(*control) (quorum.Observation, error),
+) (quorum.Observation, error) {
+	c, err := dialControl(ctx, o.settings, o.members[target].info)
+	if err != nil {
+		return quorum.Observation{}, err
+	}
+	defer c.close()
+	return call(c)
+}
--- /dev/null
+++ b/io/owner/stateview.go
@@ -0,0 +1,77 @@
+package owner
+
+import (
+	"time"
+
+	"turmericpulley/core/quorum"
+	"turmericpulley/core/types"
+)
+
+func (s *state) currentPhase() phase {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.phase
+}
+
+func (s *state) primaryAndTerm() (types.TargetID, types.Term) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.primary, s.term
+}
+
+// mayServe reports whether a majority is claimed and the lease of the previous owner is over.
+func (s *state) mayServe(now time.Time, handedOver bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.claims) < s.majority {
+		return false
+	}
+	return handedOver || !now.Before(s.serveAfter)
+}
+
+// supersededBy returns the highest epoch that any member reported.
+func (s *state) supersededBy() types.Epoch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.highestEpoch
+}
+
+// replica describes a member that could answer a read.
+type replica struct {
+	target  types.TargetID
+	applied types.Position
+}
+
+// replicas returns the members that may answer a read of the given age; none without a lease. They may do so while a
+// primary is being elected, since their data then only grows older.
+func (s *state) replicas(now time.Time, maxAge time.Duration) []replica {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.primary == "" || !s.leaseHoldsLocked() {
+		return nil
+	}
+	var found []replica
+	for _, o := range s.upLocked() {
+		if o.Target == s.primary || o.Role != quorum.Replica || o.Term != s.term || o.Leaving {
+			continue
+		}
+		if age, ok := s.ages.Age(o.Applied, now); ok && age <= maxAge {
+			found = append(found, replica{target: o.Target, applied: o.Applied})
+		}
+	}
+	return found
+}
+
+// serving returns the primary, its term and the phase.
+func (s *state) serving() (types.TargetID, types.Term, phase) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.primary, s.term, s.phase
+}
+
+// isServing reports whether the target is still the primary of the term.
+func (s *state) isServing(target types.TargetID, term types.Term) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.phase == serving && s.primary == target && s.term == term
+}
--- /dev/null
+++ b/io/owner/transaction.go
@@ -0,0 +1,214 @@
+package owner
+
+import (
+	"bytes"
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"turmericpulley/core/admit"
+	"turmericpulley/core/fault"
+	"turmericpulley/core/policy"
+	"turmericpulley/core/reads"
+	"turmericpulley/core/types"
+	"turmericpulley/io/pgcli"
+	"turmericpulley/io/wire"
+)
+
+// errCallerGone reports that the caller's side ended the stream.
+var errCallerGone = errors.New("the caller's side ended the stream")
+
+// transaction is one transaction of a caller on its way through the owner.
+type transaction struct {
+	owner    *Owner
+	begin    *wire.Begin
+	contract policy.Contract
+	session  reads.Session
+	stream   Stream
+	frames   chan *wire.Frame
+	// running is the connection that a cancel request is meant for.
+	running  atomic.Pointer[pgcli.Conn]
+	limits   admit.Limits
+	attempts uint32
+	// relayed is set once part of an answer has left, after which the transaction cannot run elsewhere.
+	relayed bool
+}
+
+// Serve runs one transaction and answers on the stream; the stream stays the caller's to close.
+func (o *Owner) Serve(ctx context.Context, begin *wire.Begin, contract policy.Contract, s Stream) {
+	t := &transaction{
+		owner:    o,
+		begin:    begin,
+		contract: contract,
+		session:  reads.Session{Customer: types.CustomerID(begin.GetCustomer()), Name: types.SessionName(begin.GetSession())},
+		stream:   s,
+		frames:   make(chan *wire.Frame, frameRing),
+		limits: admit.Limits{
+			Connections:  contract.Connections,
+			QueueLength:  contract.QueueLength,
+			QueueTimeout: contract.QueueTimeout.Std(),
+			Weight:       contract.Weight,
+		},
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if !o.begin() {
+		t.refuse(errLost())
+		return
+	}
+	defer o.end()
+	go t.receive(ctx, cancel)
+	if err := t.run(ctx); err != nil {
+		t.finishWithError(err)
+	}
+}
+
+// receive passes on the caller's frames until the stream ends, which also ends the transaction.
+func (t *transaction) receive(ctx context.Context, cancel context.CancelFunc) {
+	defer close(t.frames)
+	for {
+		f, err := t.stream.Receive()
+		if err != nil {
+			cancel()
+			return
+		}
+		if f.GetCancel() {
+			t.cancelRunning()
+			continue
+		}
+		kept := &wire.Frame{RequestId: f.GetRequestId(), Payload: bytes.Clone(f.GetPayload()), BatchEnd: f.GetBatchEnd()}
+		select {
+		case t.frames <- kept:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (t *transaction) cancelRunning() {
+	if c := t.running.Load(); c != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+		defer cancel()
+		_ = c.Cancel(ctx)
+	}
+}
+
+// batch collects the caller's frames up to the end of a batch or a flush.
+func (t *transaction) batch(ctx context.Context) (payload []byte, ended bool, err error) {
+	select {
+	case f, ok := <-t.frames:
+		if !ok {
+			return nil, false, errCallerGone
+		}
+		return f.GetPayload(), f.GetBatchEnd(), nil
+	case <-ctx.Done():
+		return nil, false, errCallerGone
+	}
+}
+
+func (t *transaction) run(ctx context.Context) error {
+	payload, ended, err := t.batch(ctx)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := t.batchContext(ctx)
+	defer cancel()
+	if err := t.owner.rates.Take(t.session.Customer, t.contract.RequestRate, time.Now()); err != nil {
+		return err
+	}
+	t.owner.budget.Earn()
+	if t.mayUseReplica(ended) {
+		done, err := t.tryReplicas(ctx, payload)
+		if done || err != nil {
+			return err
+		}
+	}
+	if t.begin.GetRequestKey() != "" {
+		return t.runKeyed(ctx, payload, ended)
+	}
+	return t.runOnPrimary(ctx, payload, ended)
+}
+
+// batchContext bounds one batch by the time that the caller's side gave.
+func (t *transaction) batchContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, time.Duration(t.begin.GetTimeoutMs())*time.Millisecond)
+}
+
+func (t *transaction) mayUseReplica(ended bool) bool {
+	if !ended || t.begin.GetRequestKey() != "" || t.maxAge() <= 0 {
+		return false
+	}
+	return t.begin.GetReadOnly() || !t.owner.settings.Writes.Contains(t.begin.GetStatementHash())
+}
+
+func (t *transaction) maxAge() time.Duration {
+	age := t.contract.MaxReadAge.Std()
+	if t.begin.MaxReadAgeMs != nil {
+		age = min(age, time.Duration(t.begin.GetMaxReadAgeMs())*time.Millisecond)
+	}
+	return age
+}
+
+func (t *transaction) trail(what string, target types.TargetID, term types.Term) {
+	if t.owner.settings.Trail != nil {
+		t.owner.settings.Trail(types.RequestID(t.begin.GetRequestId()), what, target, term)
+	}
+}
+
+func (t *transaction) finishWithError(err error) {
+	if errors.Is(err, errCallerGone) {
+		t.trail("the caller went away", "", 0)
+		return
+	}
+	f := fault.From(err)
+	if f == nil {
+		f = fault.New(fault.OutcomeUnknown, err.Error())
+	}
+	t.refuse(f)
+}
+
+func (t *transaction) refuse(f *fault.Fault) {
+	if f.Outcome == fault.Unknown {
+		t.owner.settings.Counters.Unknown.Add(1)
+	} else {
+		t.owner.settings.Counters.Refusals.Add(1)
+	}
+	t.trail(f.Error(), "", 0)
+	_ = t.stream.Send(&wire.Frame{
+		RequestId: t.begin.GetRequestId(),
+		Outcome: &wire.Outcome{
+			Refusal:  &wire.Refusal{Kind: string(f.Kind), Detail: f.Detail, Unknown: f.Outcome == fault.Unknown},
+			Attempts: t.attempts,
+		},
+	})
+}
+
+// finish sends the last part of the answer with the outcome.
+func (t *transaction) finish(held []byte, target types.TargetID, isReplica bool, term types.Term, position types.Position) error {
+	if isReplica {
+		t.owner.settings.Counters.ReplicaReads.Add(1)
+	} else {
+		t.owner.settings.Counters.PrimaryTransactions.Add(1)
+	}
+	err := t.stream.Send(&wire.Frame{
+		RequestId: t.begin.GetRequestId(),
+		Payload:   held,
+		Outcome: &wire.Outcome{
+			Target: string(target), Replica: isReplica, Term: uint64(term), Position: uint64(position), Attempts: t.attempts,
+		},
+	})
+	if err != nil {
+		return errCallerGone
+	}
+	return nil
+}
+
+func (t *transaction) relay(payload []byte) error {
+	t.relayed = true
+	if err := t.stream.Send(&wire.Frame{RequestId: t.begin.GetRequestId(), Payload: payload}); err != nil {
+		return errCallerGone
+	}
+	return nil
+}
