feat: run the program as processes behind fault-injecting links

Integration tests need separate processes and faults on each link. io/check builds the program once, signals processes by id, and puts toxiproxy links between them with delay, one-way cuts, silence of open connections and resets.

--- /dev/null
+++ b/io/check/link_test.go
@@ -0,0 +1,101 @@
+package check_test
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"turmericpulley/io/check"
+)
+
+const (
+	silenceBound = 150 * time.Millisecond
+	answerBound  = 5 * time.Second
+)
+
+// echo starts a listener that returns what it gets.
+func echo(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = connection.Close() }()
+				_, _ = io.Copy(connection, connection)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func dial(t *testing.T, link *check.Link) net.Conn {
+	t.Helper()
+	connection, err := net.Dial("tcp", link.Address())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = connection.Close() })
+	return connection
+}
+
+// answers reports whether the echo of one byte comes back in time.
+func answers(t *testing.T, connection net.Conn, bound time.Duration) bool {
+	t.Helper()
+	if _, err := connection.Write([]byte{1}); err != nil {
+		return false
+	}
+	require.NoError(t, connection.SetReadDeadline(time.Now().Add(bound)))
+	_, err := connection.Read(make([]byte, 1))
+	return err == nil
+}
+
+func TestLinkSilenceSparesNewConnections(t *testing.T) {
+	link := check.NewLink(t, "echo", echo(t))
+	open := dial(t, link)
+	require.True(t, answers(t, open, answerBound))
+	link.Silence()
+	require.False(t, answers(t, open, silenceBound))
+	require.True(t, answers(t, dial(t, link), answerBound))
+}
+
+func TestLinkCutHoldsForNewConnectionsUntilHeal(t *testing.T) {
+	for _, direction := range []check.Direction{check.Upstream, check.Downstream} {
+		link := check.NewLink(t, "echo", echo(t))
+		open := dial(t, link)
+		require.True(t, answers(t, open, answerBound))
+		link.Cut(direction)
+		require.False(t, answers(t, open, silenceBound))
+		require.False(t, answers(t, dial(t, link), silenceBound))
+		link.Heal()
+		require.True(t, answers(t, dial(t, link), answerBound))
+	}
+}
+
+func TestLinkDelayHoldsBothWaysAndSurvivesHeal(t *testing.T) {
+	const delay = 20 * time.Millisecond
+	link := check.NewLink(t, "echo", echo(t))
+	link.Delay(delay)
+	for range 2 {
+		open := dial(t, link)
+		start := time.Now()
+		require.True(t, answers(t, open, answerBound))
+		require.GreaterOrEqual(t, time.Since(start), 2*delay)
+		link.CutBoth()
+		link.Heal()
+	}
+}
+
+func TestLinkResetBreaksOpenConnections(t *testing.T) {
+	link := check.NewLink(t, "echo", echo(t))
+	open := dial(t, link)
+	require.True(t, answers(t, open, answerBound))
+	link.Reset()
+	require.False(t, answers(t, open, answerBound))
+}
--- /dev/null
+++ b/io/check/program.go
@@ -0,0 +1,44 @@
+package check
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+)
+
+// modulePath is the import path of the program's main package.
+const modulePath = "turmericpulley"
+
+// buildOnce builds the program for the whole test run.
+var buildOnce = sync.OnceValues(build)
+
+// Program returns the path of the built program.
+func Program(tb testing.TB) string {
+	tb.Helper()
+	path, err := buildOnce()
+	require.NoError(tb, err)
+	return path
+}
+
+// Remove deletes the built program; call it at the end of TestMain.
+func Remove() {
+	if path, err := buildOnce(); err == nil {
+		_ = os.RemoveAll(filepath.Dir(path))
+	}
+}
+
+func build() (string, error) {
+	directory, err := os.MkdirTemp("", "turmericpulley-check-")
+	if err != nil {
+		return "", errors.Wrap(err, "making a directory for the program")
+	}
+	path := filepath.Join(directory, "turmericpulley")
+	arguments := append([]string{"build"}, raceArguments...)
+	output, err := exec.Command("go", append(arguments, "-o", path, modulePath)...).CombinedOutput()
+	return path, errors.Wrapf(err, "building the program: %s", output)
+}
