feat: listener for callers in the PostgreSQL protocol

Callers need simple and extended queries over pooled targets, which keep no named statements. The listener rewrites named statements to the unnamed one, sends each batch on a stream to the owner and relays the answer by frames.

--- /dev/null
+++ b/io/pgsrv/answer.go
@@ -0,0 +1,25 @@
+package pgsrv
+
+// answer is what the owner still owes for a batch.
+type answer struct {
+	parses []parse
+	synced bool   // the end of the batch has been sent
+	failed bool   // the caller has been told an error and ReadyForQuery is due at the end of the batch
+	text   string // the statement when the batch runs exactly one
+	tag    string // the last command's tag
+	status byte
+	done   chan struct{}
+}
+
+func newAnswer() *answer { return &answer{done: make(chan struct{})} }
+
+// confirm takes the next expected ParseComplete and reports whether the caller gets it.
+func (a *answer) confirm() (relay, expected bool) {
+	if len(a.parses) == 0 {
+		return false, false
+	}
+	p := a.parses[0]
+	a.parses = a.parses[1:]
+	p.statement.confirmed = true
+	return !p.injected, true
+}
--- /dev/null
+++ b/io/pgsrv/carried.go
@@ -0,0 +1,121 @@
+package pgsrv
+
+import (
+	"regexp"
+	"strings"
+)
+
+// MaxCarriedSettings bounds the settings that are repeated before each transaction of a session.
+const MaxCarriedSettings = 64
+
+var (
+	setPattern    = regexp.MustCompile(`(?is)^\s*set\s+(?:session\s+)?(time\s+zone|characteristics|authorization|[a-z_][\w.$]*|"[^"]+")`)
+	unsetPattern  = regexp.MustCompile(`(?is)^\s*reset\s+(time\s+zone|session\s+authorization|[a-z_][\w.$]*|"[^"]+")\s*;?\s*$`)
+	quotedPattern = regexp.MustCompile(`(?s)'(?:[^']|'')*'`)
+)
+
+// carriedSetting is one SET statement of a session.
+type carriedSetting struct {
+	name string
+	text string
+}
+
+// carried holds the SET statements that a session made, in the order in which they were first made.
+type carried struct {
+	settings []carriedSetting
+}
+
+// settingName returns the name that a lone SET statement of the whole session sets, or nothing.
+func settingName(text string) string {
+	if len(text) > maxCommandBytes {
+		return ""
+	}
+	m := setPattern.FindStringSubmatch(text)
+	if m == nil || hasSeveral(text) {
+		return ""
+	}
+	switch name := normalName(m[1]); name {
+	case "local", "transaction", "constraints":
+		return ""
+	default:
+		return name
+	}
+}
+
+func hasSeveral(text string) bool {
+	text = quotedPattern.ReplaceAllString(text, "")
+	return strings.Contains(strings.TrimRight(text, "; \t\r\n"), ";")
+}
+
+func normalName(name string) string {
+	name = strings.ToLower(strings.Join(strings.Fields(strings.Trim(name, `"`)), " "))
+	if name == "time zone" {
+		return "timezone"
+	}
+	return name
+}
+
+// full reports whether the statement would be one setting too many.
+func (c *carried) full(text string) bool {
+	name := settingName(text)
+	return name != "" && len(c.settings) >= MaxCarriedSettings && c.index(name) < 0
+}
+
+// observe notes a statement that a target has run outside of a transaction block.
+func (c *carried) observe(text, tag string) {
+	switch tag {
+	case tagSet:
+		c.set(settingName(text), text)
+	case tagReset:
+		c.unset(text)
+	case tagDiscardAll:
+		c.settings = nil
+	}
+}
+
+func (c *carried) set(name, text string) {
+	if name == "" {
+		return
+	}
+	setting := carriedSetting{name: name, text: strings.Clone(text)}
+	if i := c.index(name); i >= 0 {
+		c.settings[i] = setting
+		return
+	}
+	if len(c.settings) < MaxCarriedSettings {
+		c.settings = append(c.settings, setting)
+	}
+}
+
+func (c *carried) unset(text string) {
+	m := unsetPattern.FindStringSubmatch(text)
+	if m == nil {
+		return
+	}
+	name := normalName(m[1])
+	if name == "all" {
+		c.settings = nil
+		return
+	}
+	if i := c.index(name); i >= 0 {
+		c.settings = append(c.settings[:i], c.settings[i+1:]...)
+	}
+}
+
+func (c *carried) index(name string) int {
+	for i, s := range c.settings {
+		if s.name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// texts returns the statements.
+func (c *carried) texts() []string {
+	texts := make([]string, 0, len(c.settings))
+	for _, s := range c.settings {
+		texts = append(texts, s.text)
+	}
+	return texts
+}
--- /dev/null
+++ b/io/pgsrv/message.go
@@ -0,0 +1,21 @@
+package pgsrv
+
+import "encoding/binary"
+
+const (
+	headerBytes = 5
+	lengthBytes = 4
+)
+
+// message is one message of the wire protocol; its body is valid until the next one is read.
+type message struct {
+	kind byte
+	body []byte
+}
+
+// appendTo appends the encoded message.
+func (m message) appendTo(dst []byte) []byte {
+	dst = append(dst, m.kind)
+	dst = binary.BigEndian.AppendUint32(dst, uint32(len(m.body)+lengthBytes))
+	return append(dst, m.body...)
+}
--- /dev/null
+++ b/io/pgsrv/open.go
@@ -0,0 +1,93 @@
+package pgsrv
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"turmericpulley/core/fault"
+	"turmericpulley/core/policy"
+	"turmericpulley/core/types"
+	"turmericpulley/io/wire"
+)
+
+const (
+	openTimeout             = 5 * time.Second
+	defaultStatementTimeout = 30 * time.Second
+	defaultQueueTimeout     = 5 * time.Second
+)
+
+// open starts a transaction for a batch.
+func (c *caller) open(b *batch, end bool) (*exchange, *fault.Fault) {
+	runs := b.executes > 0 || !end
+	var key types.RequestKey
+	if runs {
+		key = c.session.takeRequestKey()
+	}
+	contract, revision, f := c.admit()
+	if f != nil {
+		c.reportRefused(f, b.start)
+		return nil, f
+	}
+	begin := c.describeBegin(contract, revision)
+	begin.RequestKey = string(key)
+	if runs && b.first != "" {
+		begin.StatementHash = xxhash.Sum64String(b.first)
+	}
+	ctx, cancel := context.WithTimeout(c.server.running, openTimeout)
+	defer cancel()
+	stream, err := c.server.settings.Router.Open(ctx, begin)
+	if err != nil {
+		f := asFault(err, fault.NoOwner)
+		c.reportRefused(f, b.start)
+		return nil, f
+	}
+	c.server.counters.Transactions.Add(1)
+	return newExchange(c, stream, begin, b.start), nil
+}
+
+// admit checks the customer's contract in force and the freshness of the instance.
+func (c *caller) admit() (policy.Contract, types.Revision, *fault.Fault) {
+	if err := c.server.settings.Gate.Fresh(); err != nil {
+		return policy.Contract{}, 0, asFault(err, fault.Isolated)
+	}
+	return c.server.authorize(c.customer, c.database)
+}
+
+func (c *caller) describeBegin(contract policy.Contract, revision types.Revision) *wire.Begin {
+	begin := &wire.Begin{
+		RequestId:        c.server.nextRequestID(),
+		Database:         string(c.database),
+		Customer:         string(c.customer),
+		Session:          string(c.session.name),
+		TimeoutMs:        uint32(requestTimeout(contract).Milliseconds()),
+		ReadOnly:         c.session.readOnly,
+		Settings:         append(c.settings[:len(c.settings):len(c.settings)], c.session.carried.texts()...),
+		ContractRevision: uint64(revision),
+	}
+	if c.session.maxReadAge != nil {
+		age := uint32(c.session.maxReadAge.Milliseconds())
+		begin.MaxReadAgeMs = &age
+	}
+	return begin
+}
+
+func requestTimeout(contract policy.Contract) time.Duration {
+	statement, queue := contract.StatementTimeout.Std(), contract.QueueTimeout.Std()
+	if statement <= 0 {
+		statement = defaultStatementTimeout
+	}
+	if queue <= 0 {
+		queue = defaultQueueTimeout
+	}
+	return statement + queue
+}
+
+// asFault returns the fault inside an error, or one of the kind.
+func asFault(err error, kind fault.Kind) *fault.Fault {
+	if f := fault.From(err); f != nil {
+		return f
+	}
+	return fault.New(kind, err.Error())
+}
--- /dev/null
+++ b/io/pgsrv/owner_test.go
@@ -0,0 +1,309 @@
+package pgsrv_test
+
+import (
+	"encoding/binary"
+	"io"
+	"net"
+	"strings"
+	"sync"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/jackc/pgx/v5/pgtype"
+	"google.golang.org/protobuf/proto"
+
+	"turmericpulley/io/wire"
+)
+
+// pipeStream is a Stream over a net.Conn.
+type pipeStream struct {
+	net.Conn
+	mutex sync.Mutex
+}
+
+func (p *pipeStream) Send(frame *wire.Frame) error {
+	data, err := proto.Marshal(frame)
+	if err != nil {
+		return err
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	_, err = p.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(data))), data...))
+	return err
+}
+
+func (p *pipeStream) Receive() (*wire.Frame, error) {
+	var header [4]byte
+	if _, err := io.ReadFull(p, header[:]); err != nil {
+		return nil, err
+	}
+	data := make([]byte, binary.BigEndian.Uint32(header[:]))
+	if _, err := io.ReadFull(p, data); err != nil {
+		return nil, err
+	}
+	frame := new(wire.Frame)
+	return frame, proto.Unmarshal(data, frame)
+}
+
+// owner runs one transaction by the script that the statements' texts spell.
+type owner struct {
+	stream  *pipeStream
+	begin   *wire.Begin
+	record  *record
+	status  byte
+	text    string
+	skip    bool
+	stopped bool
+	out     []byte
+	cancel  chan struct{}
+}
+
+// record collects what the owners saw.
+type record struct {
+	mutex      sync.Mutex
+	begins     []*wire.Begin
+	statements []string
+	named      []string
+	ended      int
+	cancels    int
+}
+
+func (r *record) add(f func(*record)) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	f(r)
+}
+
+func (r *record) snapshot() record {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return record{begins: r.begins, statements: r.statements, named: r.named, ended: r.ended, cancels: r.cancels}
+}
+
+func (o *owner) run() {
+	defer o.record.add(func(r *record) { r.ended++ })
+	defer func() { _ = o.stream.Close() }()
+	frames := make(chan *wire.Frame, 64)
+	go func() {
+		defer close(frames)
+		for {
+			frame, err := o.stream.Receive()
+			if err != nil {
+				return
+			}
+			if frame.GetCancel() {
+				o.record.add(func(r *record) { r.cancels++ })
+				close(o.cancel)
+				continue
+			}
+			frames <- frame
+		}
+	}()
+	for frame := range frames {
+		o.batch(frame, frames)
+		if o.stopped {
+			return
+		}
+	}
+}
+
+func (o *owner) send(m ...pgproto3.BackendMessage) {
+	for _, each := range m {
+		o.out, _ = each.Encode(o.out)
+	}
+}
+
+func (o *owner) flush(outcome *wire.Outcome) {
+	_ = o.stream.Send(&wire.Frame{RequestId: o.begin.RequestId, Payload: o.out, Outcome: outcome})
+	o.out = nil
+}
+
+func (o *owner) batch(frame *wire.Frame, frames chan *wire.Frame) {
+	front := pgproto3.NewBackend(strings.NewReader(string(frame.Payload)), nil)
+	for !o.stopped {
+		m, err := front.Receive()
+		if err != nil {
+			break
+		}
+		o.message(m, frames)
+	}
+	if len(o.out) > 0 && !o.stopped {
+		o.flush(nil)
+	}
+}
+
+func (o *owner) message(m pgproto3.FrontendMessage, frames chan *wire.Frame) {
+	if sync, ok := m.(*pgproto3.Sync); ok && sync != nil {
+		o.ready()
+		return
+	}
+	if o.skip {
+		return
+	}
+	switch m := m.(type) {
+	case *pgproto3.Query:
+		for _, text := range strings.Split(m.String, ";") {
+			o.statement(strings.TrimSpace(text), nil, true, frames)
+		}
+		if !o.stopped {
+			o.ready()
+		}
+	case *pgproto3.Parse:
+		o.note(m.Name)
+		o.text = strings.Clone(m.Query)
+		if strings.HasPrefix(m.Query, "BAD") {
+			o.fail("42601")
+			return
+		}
+		o.send(&pgproto3.ParseComplete{})
+	case *pgproto3.Bind:
+		o.note(m.PreparedStatement)
+		o.send(&pgproto3.BindComplete{})
+		o.parameters(m)
+	case *pgproto3.Describe:
+		o.describe(m)
+	case *pgproto3.Execute:
+		o.statement(o.text, nil, false, frames)
+	case *pgproto3.Close:
+		o.note(m.Name)
+		o.send(&pgproto3.CloseComplete{})
+	}
+}
+
+func (o *owner) note(name string) {
+	if name != "" {
+		o.record.add(func(r *record) { r.named = append(r.named, name) })
+	}
+}
+
+func (o *owner) parameters(m *pgproto3.Bind) {
+	for _, p := range m.Parameters {
+		o.text = strings.Replace(o.text, "$1", string(p), 1)
+	}
+}
+
+func (o *owner) describe(m *pgproto3.Describe) {
+	if m.ObjectType == 'S' {
+		oids := make([]uint32, strings.Count(o.text, "$1"))
+		for i := range oids {
+			oids[i] = pgtype.TextOID
+		}
+		o.send(&pgproto3.ParameterDescription{ParameterOIDs: oids})
+	}
+	if strings.HasPrefix(o.text, "SELECT") {
+		o.send(rowDescription())
+		return
+	}
+	o.send(&pgproto3.NoData{})
+}
+
+func rowDescription() *pgproto3.RowDescription {
+	return &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{
+		{Name: []byte("value"), DataTypeOID: pgtype.TextOID, DataTypeSize: -1, TypeModifier: -1},
+	}}
+}
+
+func (o *owner) fail(code string) {
+	o.send(&pgproto3.ErrorResponse{Severity: "ERROR", Code: code, Message: "scripted"})
+	o.skip = true
+	if o.status == 'T' {
+		o.status = 'E'
+	}
+}
+
+func (o *owner) ready() {
+	o.skip = false
+	o.send(&pgproto3.ReadyForQuery{TxStatus: o.status})
+	if o.status == 'I' {
+		o.stopped = true
+		o.flush(&wire.Outcome{Target: "a-1", Replica: strings.HasPrefix(o.text, "SELECT"), Attempts: 1})
+	}
+}
+
+// statement acts out one statement.
+func (o *owner) statement(text string, _ []string, describe bool, frames chan *wire.Frame) {
+	if text == "" || o.skip || o.stopped {
+		return
+	}
+	o.record.add(func(r *record) { r.statements = append(r.statements, text) })
+	word, rest, _ := strings.Cut(text, " ")
+	switch word {
+	case "BEGIN", "begin":
+		o.status = 'T'
+		o.complete("BEGIN")
+	case "COMMIT", "commit", "ROLLBACK", "rollback":
+		o.status = 'I'
+		o.complete(strings.ToUpper(word))
+	case "SELECT":
+		if describe {
+			o.send(rowDescription())
+		}
+		o.send(&pgproto3.DataRow{Values: [][]byte{[]byte(rest)}})
+		o.complete("SELECT 1")
+	case "SET", "RESET":
+		o.complete(word)
+	case "COPY":
+		o.send(&pgproto3.CopyInResponse{ColumnFormatCodes: []uint16{0}})
+		o.flush(nil)
+		for range frames { // until the stream ends
+		}
+		o.stopped = true
+	case "BAD":
+		o.fail("42601")
+	default:
+		o.fault(word, rest, describe, frames)
+	}
+}
+
+// fault acts out what can go wrong on the way.
+func (o *owner) fault(word, rest string, describe bool, frames chan *wire.Frame) {
+	switch word {
+	case "BREAK":
+		o.stopped = true
+	case "HALF":
+		if describe {
+			o.send(rowDescription())
+		}
+		o.send(&pgproto3.DataRow{Values: [][]byte{[]byte("half")}})
+		o.flush(nil)
+		o.stopped = true
+	case "TORN":
+		o.out = append(o.out, 'D', 0, 0)
+		o.flush(nil)
+		o.stopped = true
+	case "CROSS":
+		o.begin.RequestId++
+		o.complete("CROSS")
+		o.ready()
+		o.stopped = true
+	case "REFUSE":
+		o.out = nil
+		o.flush(&wire.Outcome{Refusal: &wire.Refusal{Kind: rest, Detail: "scripted"}})
+		o.stopped = true
+	case "HANG":
+		select {
+		case <-o.cancel:
+			o.fail("57014")
+		case <-waitClosed(frames):
+			o.stopped = true
+		}
+	case "BIG":
+		o.send(&pgproto3.DataRow{Values: [][]byte{make([]byte, 8<<20)}})
+		o.complete("SELECT 1")
+	default:
+		o.complete("INSERT 0 1")
+	}
+}
+
+func waitClosed(frames chan *wire.Frame) chan struct{} {
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		for range frames {
+		}
+	}()
+	return closed
+}
+
+func (o *owner) complete(tag string) {
+	o.send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+}
--- /dev/null
+++ b/io/pgsrv/parameters.go
@@ -0,0 +1,136 @@
+package pgsrv
+
+import (
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	parameterUser        = "user"
+	parameterDatabase    = "database"
+	parameterApplication = "application_name"
+	parameterEncoding    = "client_encoding"
+	parameterOptions     = "options"
+	parameterReplication = "replication"
+	extensionPrefix      = "_pq_."
+)
+
+var settingNamePattern = regexp.MustCompile(`^[A-Za-z_][A-Za-z0-9_$]*(\.[A-Za-z_][A-Za-z0-9_$]*)*$`)
+
+// parameters is what a start-up message says.
+type parameters struct {
+	user        string
+	database    string
+	application string
+	pulley      map[string]string
+	settings    []string
+}
+
+// readParameters sorts the parameters of a start-up message.
+func readParameters(given map[string]string) (parameters, error) {
+	p := parameters{user: given[parameterUser], database: given[parameterDatabase], application: given[parameterApplication]}
+	if p.user == "" {
+		return p, errors.New("the start-up message names no user; give the customer as the user")
+	}
+	if p.database == "" {
+		p.database = p.user
+	}
+	if len(p.application) > MaxSessionNameBytes {
+		return p, errors.Errorf("application_name is longer than %d bytes", MaxSessionNameBytes)
+	}
+	all, err := readOptions(given[parameterOptions])
+	if err != nil {
+		return p, err
+	}
+	for name, value := range given {
+		all[name] = value
+	}
+	return p, p.sort(all)
+}
+
+// sort tells the proxy's settings from the target's.
+func (p *parameters) sort(all map[string]string) error {
+	names := make([]string, 0, len(all))
+	for name := range all {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		if err := p.take(name, all[name]); err != nil {
+			return err
+		}
+	}
+	if len(p.settings) > MaxCarriedSettings {
+		return errors.Errorf("the start-up message has more than %d settings", MaxCarriedSettings)
+	}
+	return nil
+}
+
+func (p *parameters) take(name, value string) error {
+	lower := strings.ToLower(name)
+	switch {
+	case strings.HasPrefix(lower, settingPrefix):
+		if p.pulley == nil {
+			p.pulley = make(map[string]string)
+		}
+		p.pulley[strings.TrimPrefix(lower, settingPrefix)] = value
+		return nil
+	case strings.HasPrefix(lower, extensionPrefix):
+		return nil
+	}
+	switch lower {
+	case parameterUser, parameterDatabase, parameterApplication, parameterOptions:
+		return nil
+	case parameterReplication:
+		if value == "" || value == "off" || value == "false" || value == "0" {
+			return nil
+		}
+		return errors.New("replication connections are not served; connect to the member itself")
+	case parameterEncoding:
+		return checkEncoding(value)
+	}
+	text, err := settingText(name, value)
+	p.settings = append(p.settings, text)
+	return err
+}
+
+func checkEncoding(value string) error {
+	switch strings.ToLower(strings.Trim(value, `'" `)) {
+	case "utf8", "utf-8", "unicode", "":
+		return nil
+	default:
+		return errors.Errorf("client_encoding %q is not served; use UTF8", value)
+	}
+}
+
+// settingText returns a SET statement.
+func settingText(name, value string) (string, error) {
+	if !settingNamePattern.MatchString(name) {
+		return "", errors.Errorf("setting name %q is malformed; use letters, digits, dots and underscores", name)
+	}
+	return "SET " + name + " = " + settingValue(strings.ToLower(name), value), nil
+}
+
+// settingValue quotes a value; a setting that is a list of names gets each name quoted.
+func settingValue(name, value string) string {
+	if name != "search_path" && name != "temp_tablespaces" {
+		return quote(value)
+	}
+	items := strings.Split(value, ",")
+	for i, item := range items {
+		items[i] = quote(strings.Trim(strings.TrimSpace(item), `"`))
+	}
+	return strings.Join(items, ", ")
+}
+
+// quote returns a string literal that means the same whatever standard_conforming_strings says.
+func quote(value string) string {
+	quoted := "'" + strings.ReplaceAll(value, "'", "''") + "'"
+	if !strings.Contains(value, `\`) {
+		return quoted
+	}
+	return "E" + strings.ReplaceAll(quoted, `\`, `\\`)
+}
--- /dev/null
+++ b/io/pgsrv/query_test.go
@@ -0,0 +1,127 @@
+package pgsrv_test
+
+import (
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/stretchr/testify/require"
+)
+
+func TestQueryInEveryMode(t *testing.T) {
+	for _, mode := range []pgx.QueryExecMode{
+		pgx.QueryExecModeCacheStatement, pgx.QueryExecModeCacheDescribe, pgx.QueryExecModeDescribeExec,
+		pgx.QueryExecModeExec, pgx.QueryExecModeSimpleProtocol,
+	} {
+		t.Run(mode.String(), func(t *testing.T) {
+			b := newBench(t)
+			conn := b.connect("")
+			for range 3 {
+				var value string
+				require.NoError(t, conn.QueryRow(b.context(), "SELECT $1", mode, "stock").Scan(&value))
+				require.Contains(t, value, "stock")
+				tag, err := conn.Exec(b.context(), "INSERT $1", mode, "order")
+				require.NoError(t, err)
+				require.EqualValues(t, 1, tag.RowsAffected())
+			}
+		})
+	}
+}
+
+func TestPreparedStatementOutlivesTransactions(t *testing.T) {
+	b := newBench(t)
+	conn := b.connect("")
+	_, err := conn.Prepare(b.context(), "stock", "SELECT $1")
+	require.NoError(t, err)
+	for range 2 {
+		tx, err := conn.Begin(b.context())
+		require.NoError(t, err)
+		for range 2 {
+			var value string
+			require.NoError(t, tx.QueryRow(b.context(), "stock", "roll").Scan(&value))
+			require.Equal(t, "roll", value)
+		}
+		require.NoError(t, tx.Commit(b.context()))
+	}
+	require.NoError(t, conn.Deallocate(b.context(), "stock"))
+	require.Len(t, b.record.snapshot().begins, 3, "closing a statement needs no transaction")
+	_, err = conn.Exec(b.context(), "stock", "roll")
+	require.Error(t, err)
+}
+
+func TestStatementThatFailsToParseIsForgotten(t *testing.T) {
+	b := newBench(t)
+	conn := b.connect("")
+	_, err := conn.PgConn().Prepare(b.context(), "bad", "BAD one", nil)
+	requireState(t, "42601", err)
+	requireState(t, "26000", conn.PgConn().ExecPrepared(b.context(), "bad", nil, nil, nil).Read().Err)
+	_, err = conn.PgConn().Prepare(b.context(), "bad", "SELECT good", nil)
+	require.NoError(t, err)
+	_, err = conn.PgConn().Prepare(b.context(), "bad", "SELECT again", nil)
+	requireState(t, "42P05", err)
+}
+
+func TestPipelinedBatch(t *testing.T) {
+	b := newBench(t)
+	conn := b.connect("")
+	batch := &pgx.Batch{}
+	for range 50 {
+		batch.Queue("SELECT $1", "a")
+		batch.Queue("INSERT $1", "b")
+	}
+	results := conn.SendBatch(b.context(), batch)
+	for range 50 {
+		var value string
+		require.NoError(t, results.QueryRow().Scan(&value))
+		require.Equal(t, "a", value)
+		_, err := results.Exec()
+		require.NoError(t, err)
+	}
+	require.NoError(t, results.Close())
+}
+
+func TestPipelineOfSeveralSyncs(t *testing.T) {
+	b := newBench(t)
+	conn := b.connect("")
+	pipeline := conn.PgConn().StartPipeline(b.context())
+	for range 3 {
+		pipeline.SendQueryParams("SELECT one", nil, nil, nil, nil)
+		pipeline.SendFlushRequest()
+		pipeline.SendQueryParams("INSERT two", nil, nil, nil, nil)
+		require.NoError(t, pipeline.Sync())
+	}
+	answers := 0
+	for {
+		result, err := pipeline.GetResults()
+		require.NoError(t, err)
+		if result == nil {
+			break
+		}
+		if reader, ok := result.(interface{ Close() error }); ok && answers >= 0 {
+			require.NoError(t, reader.Close())
+		}
+		answers++
+	}
+	require.Equal(t, 9, answers)
+	require.NoError(t, pipeline.Close())
+	require.Len(t, b.record.snapshot().begins, 3)
+}
+
+func TestTransactionBlockUsesOneStream(t *testing.T) {
+	b := newBench(t)
+	conn := b.connect("application_name=desk-7")
+	tx, err := conn.Begin(b.context())
+	require.NoError(t, err)
+	_, err = tx.Exec(b.context(), "INSERT $1", "order")
+	require.NoError(t, err)
+	_, err = tx.Exec(b.context(), "BAD")
+	requireState(t, "42601", err)
+	require.NoError(t, tx.Rollback(b.context()))
+	require.Len(t, b.record.snapshot().begins, 1)
+	begin := b.lastBegin()
+	require.Equal(t, "desk-7", begin.Session)
+	require.EqualValues(t, 7, begin.ContractRevision)
+	require.EqualValues(t, 35000, begin.TimeoutMs)
+	require.NotZero(t, begin.StatementHash)
+	require.Eventually(t, func() bool { return len(b.observed()) == 1 }, patience, 1e6)
+	require.EqualValues(t, "a-1", b.observed()[0].Target)
+}
--- /dev/null
+++ b/io/pgsrv/settings.go
@@ -0,0 +1,60 @@
+package pgsrv
+
+import (
+	"github.com/hashicorp/go-hclog"
+
+	"turmericpulley/core/types"
+)
+
+const (
+	// DefaultMaxMessageBytes leaves room in a message between instances for the frame around the caller's message.
+	DefaultMaxMessageBytes = 16<<20 - 4096
+	// DefaultMaxConnections is the number of callers' connections that an instance accepts.
+	DefaultMaxConnections = 16384
+	// DefaultServerVersion is the version of PostgreSQL that callers are told.
+	DefaultServerVersion = "16.0"
+
+	maxConnectionNumbers = 1<<16 - 1 - maxRefusedAtOnce
+)
+
+// Settings configures a server.
+type Settings struct {
+	// Address is the IP number and port to listen on.
+	Address string
+	// InstanceID names the instance in the keys for cancel requests.
+	InstanceID types.InstanceID
+	Router     Router
+	Book       Book
+	Gate       Gate
+	Logger     hclog.Logger
+	// Observe is called once for each finished transaction when not nil; it must not block.
+	Observe func(Transaction)
+	// MaxMessageBytes bounds one message of a caller.
+	MaxMessageBytes int
+	// MaxConnections bounds the open connections of callers.
+	MaxConnections int
+	// ServerVersion is told to callers as server_version.
+	ServerVersion string
+}
+
+func (s Settings) withDefaults() Settings {
+	if s.MaxMessageBytes <= 0 || s.MaxMessageBytes > DefaultMaxMessageBytes {
+		s.MaxMessageBytes = DefaultMaxMessageBytes
+	}
+	if s.MaxConnections <= 0 {
+		s.MaxConnections = DefaultMaxConnections
+	}
+	if s.MaxConnections > maxConnectionNumbers {
+		s.MaxConnections = maxConnectionNumbers
+	}
+	if s.ServerVersion == "" {
+		s.ServerVersion = DefaultServerVersion
+	}
+	if s.Logger == nil {
+		s.Logger = hclog.NewNullLogger()
+	}
+	if s.Observe == nil {
+		s.Observe = func(Transaction) {}
+	}
+	return s
+}
--- /dev/null
+++ b/io/pgsrv/source.go
@@ -0,0 +1,131 @@
+package pgsrv
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// eagerBodyBytes is the largest body for which memory is set aside before its bytes arrive.
+const eagerBodyBytes = 64 << 10
+
+var errInterrupted = errors.New("the wait for the next message was interrupted")
+
+// source reads messages from a connection; it holds a buffer only while bytes wait in it.
+type source struct {
+	conn     net.Conn
+	pool     *sync.Pool
+	buffer   *readBuffer
+	first    [1]byte
+	held     bool
+	maxBytes int
+	patient  bool // a message that has begun outlasts interruptions
+}
+
+// Read gives the buffer what the connection holds and outlasts interruptions.
+func (s *source) Read(p []byte) (int, error) {
+	if s.held {
+		s.held = false
+		p[0] = s.first[0]
+		return 1, nil
+	}
+	for {
+		n, err := s.conn.Read(p)
+		if n > 0 || !s.patient || !isTimeout(err) {
+			return n, err
+		}
+		if err := s.conn.SetReadDeadline(time.Time{}); err != nil {
+			return 0, errors.Wrap(err, "clearing the read deadline")
+		}
+	}
+}
+
+// next returns the next message, or errInterrupted when the read deadline passes between two messages.
+func (s *source) next() (message, error) {
+	if err := s.await(); err != nil {
+		return message{}, err
+	}
+	var header [headerBytes]byte
+	if _, err := io.ReadFull(s.buffer.reader, header[:]); err != nil {
+		return message{}, errors.Wrap(err, "reading a message's header")
+	}
+	length := int64(binary.BigEndian.Uint32(header[1:]))
+	if length < lengthBytes {
+		return message{}, newViolation("message %q has the impossible length %d", header[0], length)
+	}
+	if length > int64(s.maxBytes) {
+		return message{}, newViolation("message %q of %d bytes is above the limit of %d", header[0], length, s.maxBytes)
+	}
+	body, err := s.body(int(length) - lengthBytes)
+	return message{kind: header[0], body: body}, err
+}
+
+// startup returns the bytes of a start-up packet, its length included.
+func (s *source) startup() ([]byte, error) {
+	if err := s.await(); err != nil {
+		return nil, err
+	}
+	var header [lengthBytes]byte
+	if _, err := io.ReadFull(s.buffer.reader, header[:]); err != nil {
+		return nil, errors.Wrap(err, "reading the length of a start-up packet")
+	}
+	length := binary.BigEndian.Uint32(header[:])
+	if length < 2*lengthBytes || length > maxStartupBytes {
+		return nil, newViolation("start-up packet has the impossible length %d", length)
+	}
+	body, err := s.body(int(length) - lengthBytes)
+	return append(header[:], body...), err
+}
+
+// await waits for the first byte of a message and takes a buffer when it comes.
+func (s *source) await() error {
+	if s.buffer != nil && s.buffer.reader.Buffered() > 0 {
+		return nil
+	}
+	s.release()
+	n, err := s.conn.Read(s.first[:])
+	if n == 0 {
+		if isTimeout(err) {
+			return errInterrupted
+		}
+		return errors.Wrap(err, "waiting for a message")
+	}
+	s.held = true
+	s.buffer = s.pool.Get().(*readBuffer)
+	s.buffer.reader.Reset(s)
+	return nil
+}
+
+func (s *source) body(length int) ([]byte, error) {
+	if length > eagerBodyBytes {
+		return s.largeBody(length)
+	}
+	body := s.buffer.body(length)
+	_, err := io.ReadFull(s.buffer.reader, body)
+	return body, errors.Wrap(err, "reading a message's body")
+}
+
+// largeBody takes memory only as the bytes arrive.
+func (s *source) largeBody(length int) ([]byte, error) {
+	var body bytes.Buffer
+	_, err := io.CopyN(&body, s.buffer.reader, int64(length))
+	return body.Bytes(), errors.Wrap(err, "reading a message's body")
+}
+
+// release gives the buffer back; the connection keeps none while it is idle.
+func (s *source) release() {
+	if s.buffer == nil {
+		return
+	}
+	s.buffer.reader.Reset(nil)
+	s.pool.Put(s.buffer)
+	s.buffer = nil
+}
+
+func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
--- /dev/null
+++ b/io/pgsrv/startup.go
@@ -0,0 +1,148 @@
+package pgsrv
+
+import (
+	"bytes"
+	"fmt"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+
+	"turmericpulley/core/fault"
+	"turmericpulley/core/types"
+)
+
+const (
+	startupTimeout  = 10 * time.Second
+	maxStartupBytes = 10000
+	// maxEncryptionRequests is how many kinds of encryption a caller may ask for before its start-up message.
+	maxEncryptionRequests = 2
+)
+
+var encryptionRefused = []byte{'N'}
+
+// startUp makes the connection ready for requests and reports whether it is.
+func (c *caller) startUp() bool {
+	_ = c.conn.SetReadDeadline(time.Now().Add(startupTimeout))
+	m, err := c.receiveStartup()
+	if err != nil {
+		c.explainStartup(err)
+		return false
+	}
+	if m == nil {
+		return false
+	}
+	if c.excess {
+		c.refuseExcess()
+		return false
+	}
+	if state, text := c.adopt(m.Parameters); state != "" {
+		c.server.counters.ConnectionsRefused.Add(1)
+		c.farewell(state, text)
+		return false
+	}
+	if _, _, f := c.server.authorize(c.customer, c.database); f != nil {
+		c.refuseStartup(f)
+		return false
+	}
+	_ = c.conn.SetReadDeadline(time.Time{})
+	c.server.counters.Accepted.Add(1)
+	return c.welcome(m) == nil
+}
+
+// receiveStartup returns the start-up message, or nothing when the connection was only for a cancel request.
+func (c *caller) receiveStartup() (*pgproto3.StartupMessage, error) {
+	for range maxEncryptionRequests + 1 {
+		packet, err := c.source.startup()
+		if err != nil {
+			return nil, err
+		}
+		decoded, err := pgproto3.NewBackend(bytes.NewReader(packet), nil).ReceiveStartupMessage()
+		if err != nil {
+			return nil, newViolation("start-up packet cannot be decoded: %v", err)
+		}
+		switch m := decoded.(type) {
+		case *pgproto3.StartupMessage:
+			return m, nil
+		case *pgproto3.CancelRequest:
+			c.server.cancelRequest(m)
+			return nil, nil
+		default:
+			if err := c.write(encryptionRefused); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return nil, newViolation("too many requests for encryption")
+}
+
+func (c *caller) explainStartup(err error) {
+	if errors.Is(err, errInterrupted) && c.server.draining.Load() {
+		c.refuseStartup(fault.New(fault.Stopping, "the connection came too late"))
+		return
+	}
+	c.explain(err)
+}
+
+func (c *caller) refuseStartup(f *fault.Fault) {
+	c.server.counters.ConnectionsRefused.Add(1)
+	c.server.counters.Refusals.Add(f.Kind)
+	var r reply
+	r.fault(severityFatal, f)
+	c.sendLast(r)
+}
+
+// refuseExcess tells a caller that there is no room for its connection.
+func (c *caller) refuseExcess() {
+	c.server.counters.ConnectionsRefused.Add(1)
+	limit := c.server.settings.MaxConnections
+	c.farewell(stateTooManyConnections,
+		fmt.Sprintf("not run: this instance has %d connections, its most; connect to another instance", limit))
+}
+
+// adopt takes the start-up parameters; it returns a SQLSTATE and a message when they cannot be used.
+func (c *caller) adopt(parameters map[string]string) (state, text string) {
+	p, err := readParameters(parameters)
+	if err != nil {
+		return stateInvalidParameter, "not run: " + err.Error()
+	}
+	c.customer = types.CustomerID(p.user)
+	c.database = types.DatabaseID(p.database)
+	c.settings = p.settings
+	c.session.initial = p.pulley
+	c.session.name = types.SessionName(p.application)
+	if c.session.name == "" {
+		c.session.name = types.SessionName(fmt.Sprintf("connection-%08x%08x", c.key.process, randomNumber()))
+	}
+	for name, value := range p.pulley {
+		if err := c.session.assign(name, value); err != nil {
+			return stateInvalidParameter, "not run: " + err.Error()
+		}
+	}
+	return "", ""
+}
+
+// welcome completes the start-up.
+func (c *caller) welcome(m *pgproto3.StartupMessage) error {
+	var r reply
+	if m.ProtocolVersion != pgproto3.ProtocolVersion30 {
+		r.add(&pgproto3.NegotiateProtocolVersion{NewestMinorProtocol: pgproto3.ProtocolVersion30})
+	}
+	r.add(&pgproto3.AuthenticationOk{})
+	for _, p := range [][2]string{
+		{"server_version", c.server.settings.ServerVersion},
+		{"server_encoding", "UTF8"},
+		{"client_encoding", "UTF8"},
+		{"application_name", m.Parameters[parameterApplication]},
+		{"DateStyle", "ISO, MDY"},
+		{"IntervalStyle", "postgres"},
+		{"TimeZone", "UTC"},
+		{"integer_datetimes", "on"},
+		{"standard_conforming_strings", "on"},
+	} {
+		r.add(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+	}
+	r.add(&pgproto3.BackendKeyData{ProcessID: c.key.process, SecretKey: c.key.secret[:]})
+	r.ready(statusIdle)
+	return c.write(r.data)
+}
