--- a/cmd/register.go
+++ b/cmd/register.go
@@ -5,4 +5,5 @@
 // register adds every command to the application; commands maps full names to what runs them.
 func register(app *kingpin.Application, commands map[string]command) {
 	newLoadCommand(app, commands)
+	newReportCommand(app, commands)
 }
--- a/io/load/readshare.go
+++ b/io/load/readshare.go
@@ -6,46 +6,54 @@
 	"time"
 
 	"github.com/pkg/errors"
+	dto "github.com/prometheus/client_model/go"
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
+
+	"turmericpulley/core/types"
 )
 
 const (
-	requestMetric   = "turmericpulley_request_seconds"
-	replicaClass    = "replicaRead"
-	scrapeTimeout   = 3 * time.Second
-	unknownShare    = -1
-	classMetricName = "class"
+	requestMetric = "turmericpulley_request_seconds"
+	classLabel    = "class"
+	replicaClass  = "replicaRead"
+	customerLabel = "customer"
+	scrapeTimeout = 3 * time.Second
+	unknownShare  = -1
 )
 
-// replicaReads returns how many reads replicas have served; negative when that cannot be learned.
-func replicaReads(ctx context.Context, counter ReadCounter) int {
+// readCounts holds how many reads of a customer replicas have served, by the instance's HTTP address.
+type readCounts map[string]int
+
+// countReads returns the present counts; an instance that does not answer is left out.
+func countReads(ctx context.Context, counter ReadCounter, customer types.CustomerID) readCounts {
+	counts := readCounts{}
 	switch c := counter.(type) {
 	case MetricsCounter:
-		total := 0
 		for _, address := range c.Addresses {
-			reads, err := scrapeReplicaReads(ctx, address)
-			if err != nil {
-				continue
+			if reads, err := scrape(ctx, address, customer); err == nil {
+				counts[address] = reads
 			}
-			total += reads
 		}
-		return total
-	default:
-		return unknownShare
+	case nil:
 	}
+	return counts
 }
 
-// readShare returns the share of the reads that replicas served.
-func readShare(before, after, reads int) float64 {
-	if before < 0 || after < before || reads == 0 {
+// share returns the part of the reads that replicas served since the earlier counts; negative when it is not known.
+func (c readCounts) share(earlier readCounts, reads int) float64 {
+	if len(c) == 0 || reads == 0 {
 		return unknownShare
 	}
-	return min(1, float64(after-before)/float64(reads))
+	total := 0
+	for address, count := range c {
+		total += max(0, count-earlier[address])
+	}
+	return min(1, float64(total)/float64(reads))
 }
 
-// scrapeReplicaReads reads the counter of one instance.
-func scrapeReplicaReads(ctx context.Context, address string) (int, error) {
+// scrape reads the counter of one instance.
+func scrape(ctx context.Context, address string, customer types.CustomerID) (int, error) {
 	limited, cancel := context.WithTimeout(ctx, scrapeTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(limited, http.MethodGet, "http://"+address+"/metrics", http.NoBody)
@@ -64,11 +72,19 @@
 	}
 	total := 0
 	for _, metric := range families[requestMetric].GetMetric() {
-		for _, label := range metric.GetLabel() {
-			if label.GetName() == classMetricName && label.GetValue() == replicaClass {
-				total += int(metric.GetHistogram().GetSampleCount())
-			}
+		if labelIs(metric, classLabel, replicaClass) && labelIs(metric, customerLabel, string(customer)) {
+			total += int(metric.GetHistogram().GetSampleCount())
 		}
 	}
 	return total, nil
 }
+
+// labelIs reports whether the metric has the label with the value.
+func labelIs(metric *dto.Metric, name, value string) bool {
+	for _, label := range metric.GetLabel() {
+		if label.GetName() == name {
+			return label.GetValue() == value
+		}
+	}
+	return false
+}
--- a/io/load/run.go
+++ b/io/load/run.go
@@ -27,15 +27,15 @@
 	if err != nil {
 		return Result{}, errors.Wrap(err, "reading the initial state")
 	}
-	readsBefore := replicaReads(ctx, settings.ReadCounter)
+	readsBefore := countReads(ctx, settings.ReadCounter, settings.Customer)
 	m := measure(ctx, settings, run, classes)
-	readsAfter := replicaReads(ctx, settings.ReadCounter)
+	readsAfter := countReads(ctx, settings.ReadCounter, settings.Customer)
 	final, err := a.read(ctx)
 	if err != nil {
 		return Result{}, errors.Wrap(err, "reading the final state")
 	}
 	result := m.result(settings, classes)
-	result.ReplicaReadShare = readShare(readsBefore, readsAfter, result.AcknowledgedReads)
+	result.ReplicaReadShare = readsAfter.share(readsBefore, result.AcknowledgedReads)
 	result.judge(m.history.Operations(), initial, final)
 	return result, nil
 }
--- a/io/load/timeline.go
+++ b/io/load/timeline.go
@@ -9,8 +9,8 @@
 	"turmericpulley/core/types"
 )
 
-// timelineInterval is the length of the intervals of a timeline.
-const timelineInterval = 250 * time.Millisecond
+// TimelineInterval is the length of the intervals of a timeline.
+const TimelineInterval = 250 * time.Millisecond
 
 // timelineKey identifies one interval of one database.
 type timelineKey struct {
@@ -22,10 +22,10 @@
 func newTimeline(samples []sample, start time.Time) []TimelinePoint {
 	points := map[timelineKey]*TimelinePoint{}
 	for _, s := range samples {
-		key := timelineKey{interval: int(s.returned.Sub(start) / timelineInterval), database: s.database}
+		key := timelineKey{interval: int(s.returned.Sub(start) / TimelineInterval), database: s.database}
 		point := points[key]
 		if point == nil {
-			offset := time.Duration(key.interval) * timelineInterval
+			offset := time.Duration(key.interval) * TimelineInterval
 			point = &TimelinePoint{Start: milliseconds(offset), Database: s.database}
 			points[key] = point
 		}
--- /dev/null
+++ b/io/plots/doc.go
@@ -0,0 +1,2 @@
+// Package plots turns results of load runs into a Markdown page with plots.
+package plots
--- /dev/null
+++ b/io/plots/latency.go
@@ -0,0 +1,72 @@
+package plots
+
+import (
+	"math"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+
+	"turmericpulley/io/load"
+)
+
+const (
+	// lowestLatency keeps logarithms finite, in milliseconds.
+	lowestLatency = 0.001
+	// highestQuantile stands for 100 %, which a logarithmic axis of nines cannot show.
+	highestQuantile = 0.99999
+)
+
+// saveLatency plots the latency curve of each class.
+func saveLatency(path string, run Run) error {
+	p := plot.New()
+	p.Title.Text = "Latency by class, " + run.Name
+	p.X.Label.Text = "percentile"
+	p.X.Tick.Marker = plot.ConstantTicks(percentileTicks())
+	p.Y.Label.Text = "milliseconds"
+	p.Y.Scale = plot.LogScale{}
+	p.Y.Tick.Marker = plot.LogTicks{Prec: -1}
+	p.Legend.Top = true
+	p.Legend.Left = true
+	var lines []any
+	for _, c := range run.Result.Classes {
+		if c.Acknowledged > 0 {
+			lines = append(lines, string(c.Class), curve(c.Percentiles))
+		}
+	}
+	if len(lines) == 0 {
+		p.Y.Scale = plot.LinearScale{}
+		p.Y.Tick.Marker = plot.DefaultTicks{}
+	}
+	if err := plotutil.AddLinePoints(p, lines...); err != nil {
+		return errors.Wrap(err, "plotting latencies")
+	}
+	return save(p, path)
+}
+
+func curve(percentiles []load.Percentile) plotter.XYs {
+	points := make(plotter.XYs, 0, len(percentiles))
+	for _, percentile := range percentiles {
+		y := math.Max(float64(percentile.Latency), lowestLatency)
+		points = append(points, plotter.XY{X: nines(percentile.Percent), Y: y})
+	}
+	return points
+}
+
+// nines returns the place of a percentile on an axis where 90, 99 and 99.9 are one apart.
+func nines(percent float64) float64 {
+	return -math.Log10(1 - math.Min(percent/100, highestQuantile))
+}
+
+func percentileTicks() []plot.Tick {
+	return []plot.Tick{
+		{Value: nines(0), Label: "0"},
+		{Value: nines(50), Label: "50"},
+		{Value: nines(90), Label: "90"},
+		{Value: nines(99), Label: "99"},
+		{Value: nines(99.9), Label: "99.9"},
+		{Value: nines(99.99), Label: "99.99"},
+		{Value: nines(100), Label: "max"},
+	}
+}
