feat: metrics for each customer and class

Operators and the users' two measures (replica share, failover gap) need histograms for each customer.

--- /dev/null
+++ b/io/meter/class.go
@@ -0,0 +1,15 @@
+package meter
+
+// Class says where a request was served or how it ended.
+type Class string
+
+const (
+	// ReplicaRead marks requests served by a replica.
+	ReplicaRead Class = "replicaRead"
+	// Primary marks requests served by the primary.
+	Primary Class = "primary"
+	// Refused marks requests that were refused and did not run.
+	Refused Class = "refused"
+	// Unknown marks requests whose outcome is unknown.
+	Unknown Class = "unknown"
+)
--- /dev/null
+++ b/io/meter/request.go
@@ -0,0 +1,17 @@
+package meter
+
+import (
+	"time"
+
+	"turmericpulley/core/types"
+)
+
+// Request is the measurement of one request.
+type Request struct {
+	Customer types.CustomerID
+	Class    Class
+	// Elapsed is the time from the request's arrival to the last byte of its answer.
+	Elapsed time.Duration
+	// Queued is the part of it spent waiting for a connection.
+	Queued time.Duration
+}
--- /dev/null
+++ b/io/meter/series.go
@@ -0,0 +1,50 @@
+package meter
+
+import (
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"turmericpulley/core/fault"
+	"turmericpulley/core/types"
+)
+
+const (
+	customerLabel = "customer"
+	classLabel    = "class"
+	kindLabel     = "kind"
+)
+
+// requestSeries identifies the histograms of one customer and class.
+type requestSeries struct {
+	customer types.CustomerID
+	class    Class
+}
+
+func (s requestSeries) attributes() metric.MeasurementOption {
+	return metric.WithAttributeSet(attribute.NewSet(
+		attribute.String(customerLabel, string(s.customer)),
+		attribute.String(classLabel, string(s.class)),
+	))
+}
+
+// refusalSeries identifies the counter of one customer and kind of refusal.
+type refusalSeries struct {
+	customer types.CustomerID
+	kind     fault.Kind
+}
+
+func (s refusalSeries) attributes() metric.MeasurementOption {
+	return metric.WithAttributeSet(attribute.NewSet(
+		attribute.String(customerLabel, string(s.customer)),
+		attribute.String(kindLabel, string(s.kind)),
+	))
+}
+
+// queueSeries identifies the queue histogram of one customer.
+type queueSeries struct {
+	customer types.CustomerID
+}
+
+func (s queueSeries) attributes() metric.MeasurementOption {
+	return metric.WithAttributeSet(attribute.NewSet(attribute.String(customerLabel, string(s.customer))))
+}
