--- /dev/null
+++ b/io/fakedb/data.go
@@ -0,0 +1,142 @@
+package fakedb
+
+import (
+	"sort"
+	"strconv"
+	"strings"
+
+	"turmericpulley/io/fakedb/syntax"
+)
+
+// data runs a statement on rows; the caller holds the member's lock.
+func (s *session) data(st syntax.Statement, args arguments) (*result, error) {
+	switch st := st.(type) {
+	case syntax.Insert:
+		return s.insert(st, args)
+	case syntax.Update:
+		return s.update(st, args)
+	case syntax.Delete:
+		return s.remove(st, args)
+	case syntax.Select:
+		return s.selectRows(st, args)
+	case syntax.Constant:
+		value, err := args.value(st.Value)
+		return rowsResult(s.shape(st), []row{{value}}), err
+	case syntax.Call:
+		return s.call(st, args)
+	case syntax.CreateTemp:
+		return s.createTemp(st)
+	default:
+		return nil, fail(stateUnsupported, "the stand-in does not run this statement")
+	}
+}
+
+func rowsResult(columns []column, rows []row) *result {
+	return &result{columns: columns, rows: rows, tag: "SELECT " + strconv.Itoa(len(rows))}
+}
+
+// value returns a row as the open transaction sees it.
+func (s *session) value(table, key string) (string, bool) {
+	if rows, ok := s.temporary[table]; ok {
+		value, found := rows[key]
+		return value, found
+	}
+	if c, ok := s.tx.rows[rowKey{table, key}]; ok {
+		return c.Value, !c.Deleted
+	}
+	return s.m.tables.get(table, key)
+}
+
+// store writes a row in the open transaction; rows of a temporary table change at once.
+func (s *session) store(c change) {
+	if _, ok := s.temporary[c.Table]; ok {
+		s.temporary.apply([]change{c})
+		return
+	}
+	s.tx.write(c)
+}
+
+// selectRows reads the rows that a filter chooses, in the order of their keys.
+func (s *session) selectRows(st syntax.Select, args arguments) (*result, error) {
+	keys, err := s.filterKeys(st, args)
+	if err != nil {
+		return nil, err
+	}
+	if st.Count {
+		return rowsResult(s.shape(st), []row{{numberDatum(int64(len(keys)))}}), nil
+	}
+	rows := make([]row, len(keys))
+	for i, key := range keys {
+		value, _ := s.value(st.Table, key)
+		rows[i] = pick(st.Columns, key, value)
+	}
+	return rowsResult(s.shape(st), rows), nil
+}
+
+func (s *session) filterKeys(st syntax.Select, args arguments) ([]string, error) {
+	if st.Filter.Kind == syntax.AllRows {
+		return s.keys(st.Table, ""), nil
+	}
+	wanted, err := args.text(st.Filter.Operand)
+	if err != nil {
+		return nil, err
+	}
+	if st.Filter.Kind == syntax.KeyLike && strings.HasSuffix(wanted, "%") {
+		return s.keys(st.Table, strings.TrimSuffix(wanted, "%")), nil
+	}
+	if _, ok := s.value(st.Table, wanted); ok {
+		return []string{wanted}, nil
+	}
+	return nil, nil
+}
+
+// keys returns the keys of a table that begin with a prefix, sorted.
+func (s *session) keys(table, prefix string) []string {
+	rows, temporary := s.temporary[table]
+	if !temporary {
+		rows = s.m.tables[table]
+	}
+	keys := make([]string, 0, len(rows))
+	for key := range rows {
+		if _, written := s.tx.rows[rowKey{table, key}]; !written || temporary {
+			keys = append(keys, key)
+		}
+	}
+	if !temporary {
+		for _, c := range s.tx.rows {
+			if c.Table == table && !c.Deleted {
+				keys = append(keys, c.Key)
+			}
+		}
+	}
+	matching := keys[:0]
+	for _, key := range keys {
+		if strings.HasPrefix(key, prefix) {
+			matching = append(matching, key)
+		}
+	}
+	sort.Strings(matching)
+	return matching
+}
+
+func pick(columns []string, key, value string) row {
+	r := make(row, len(columns))
+	for i, name := range columns {
+		r[i] = textDatum(value)
+		if name == "key" {
+			r[i] = textDatum(key)
+		}
+	}
+	return r
+}
+
+func (s *session) createTemp(st syntax.CreateTemp) (*result, error) {
+	if s.m.role != Primary || s.readOnly() {
+		return nil, errReadOnly("CREATE TABLE")
+	}
+	if _, ok := s.temporary[st.Table]; ok {
+		return nil, fail(stateDuplicateTable, `relation "`+st.Table+`" already exists`)
+	}
+	s.temporary[st.Table] = map[string]string{}
+	return &result{tag: "CREATE TABLE"}, nil
+}
--- /dev/null
+++ b/io/fakedb/extended.go
@@ -0,0 +1,168 @@
+package fakedb
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"turmericpulley/io/fakedb/syntax"
+)
+
+const (
+	kindPortal = 'P'
+)
+
+// portal is a statement with its parameters bound.
+type portal struct {
+	statement syntax.Statement
+	arguments arguments
+	formats   []int16
+	result    *result
+	sent      int
+}
+
+// extended reports a failed step; messages up to the next Sync are then passed over.
+func (s *session) extended(err error) error {
+	if err == nil {
+		return nil
+	}
+	s.sendError(err)
+	s.skipping = true
+	return s.endReason()
+}
+
+func (s *session) parse(message *pgproto3.Parse) error {
+	statements, err := syntax.Parse(message.Query)
+	if err != nil {
+		return err
+	}
+	var st syntax.Statement = syntax.Empty{}
+	switch len(statements) {
+	case 0:
+	case 1:
+		st = statements[0]
+	default:
+		return fail(stateSyntaxError, "cannot insert multiple commands into a prepared statement")
+	}
+	if _, ok := s.prepared[message.Name]; ok && message.Name != "" {
+		return fail(stateDuplicatePrepared, `prepared statement "`+message.Name+`" already exists`)
+	}
+	s.prepared[message.Name] = &prepared{statement: st, parameters: parameterTypes(st, message.ParameterOIDs)}
+	s.backend.Send(&pgproto3.ParseComplete{})
+	return nil
+}
+
+func (s *session) bind(message *pgproto3.Bind) error {
+	p, err := s.findPrepared(message.PreparedStatement)
+	if err != nil {
+		return err
+	}
+	if len(message.Parameters) != len(p.parameters) {
+		return fail(stateWrongParameterCount, "the number of bound values differs from that of the parameters")
+	}
+	bound := make(arguments, len(message.Parameters))
+	for i, data := range message.Parameters {
+		bound[i], err = decodeParameter(data, p.parameters[i], formatOf(message.ParameterFormatCodes, i))
+		if err != nil {
+			return err
+		}
+	}
+	s.portals[message.DestinationPortal] = &portal{
+		statement: p.statement,
+		arguments: bound,
+		formats:   append([]int16(nil), message.ResultFormatCodes...),
+	}
+	s.backend.Send(&pgproto3.BindComplete{})
+	return nil
+}
+
+func (s *session) describe(message *pgproto3.Describe) error {
+	if message.ObjectType == kindPortal {
+		p, err := s.findPortal(message.Name)
+		if err != nil {
+			return err
+		}
+		s.sendShape(s.shape(p.statement), p.formats)
+		return nil
+	}
+	p, err := s.findPrepared(message.Name)
+	if err != nil {
+		return err
+	}
+	numbers := make([]uint32, len(p.parameters))
+	for i, kind := range p.parameters {
+		numbers[i] = uint32(kind)
+	}
+	s.backend.Send(&pgproto3.ParameterDescription{ParameterOIDs: numbers})
+	s.sendShape(s.shape(p.statement), nil)
+	return nil
+}
+
+func (s *session) sendShape(columns []column, formats []int16) {
+	if columns == nil {
+		s.backend.Send(&pgproto3.NoData{})
+		return
+	}
+	s.backend.Send(describe(columns, formats))
+}
+
+// execute runs a portal once and sends at most the wanted number of its rows.
+func (s *session) execute(message *pgproto3.Execute) error {
+	p, err := s.findPortal(message.Portal)
+	if err != nil {
+		return err
+	}
+	if _, ok := p.statement.(syntax.Empty); ok {
+		s.backend.Send(&pgproto3.EmptyQueryResponse{})
+		return nil
+	}
+	if p.result == nil {
+		if p.result, err = s.run(p.statement, p.arguments); err != nil {
+			return err
+		}
+		s.sendNotice(p.result)
+	}
+	rows := p.result.rows[p.sent:]
+	if limit := int(message.MaxRows); limit > 0 && len(rows) > limit {
+		rows = rows[:limit]
+	}
+	for _, row := range rows {
+		s.backend.Send(encodeRow(p.result.columns, row, p.formats))
+	}
+	p.sent += len(rows)
+	if p.sent < len(p.result.rows) {
+		s.backend.Send(&pgproto3.PortalSuspended{})
+		return nil
+	}
+	s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(p.result.tag)})
+	return nil
+}
+
+func (s *session) closeNamed(message *pgproto3.Close) {
+	if message.ObjectType == kindPortal {
+		delete(s.portals, message.Name)
+	} else {
+		delete(s.prepared, message.Name)
+	}
+	s.backend.Send(&pgproto3.CloseComplete{})
+}
+
+// sync ends a group of messages: outside a block it commits.
+func (s *session) sync() error {
+	s.skipping = false
+	return s.commitImplicit()
+}
+
+func (s *session) findPrepared(name string) (*prepared, error) {
+	p, ok := s.prepared[name]
+	if !ok {
+		return nil, fail(stateUnknownPrepared, `prepared statement "`+name+`" does not exist`)
+	}
+	return p, nil
+}
+
+func (s *session) findPortal(name string) (*portal, error) {
+	p, ok := s.portals[name]
+	if !ok {
+		return nil, fail(stateUnknownPortal, `portal "`+name+`" does not exist`)
+	}
+	return p, nil
+}
--- /dev/null
+++ b/io/fakedb/loop.go
@@ -0,0 +1,140 @@
+package fakedb
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+
+	"turmericpulley/io/fakedb/syntax"
+)
+
+// errGoodbye reports that the caller ended the session.
+var errGoodbye = errors.New("the caller ended the session")
+
+// loop answers messages until the session ends.
+func (s *session) loop() {
+	for {
+		message, err := s.backend.Receive()
+		if err == nil {
+			s.forgetCancel()
+			err = s.handle(message)
+		}
+		if err == nil {
+			continue
+		}
+		if reason := s.endReason(); reason != nil && !errors.Is(err, errGoodbye) {
+			s.refuse(reason)
+		}
+		return
+	}
+}
+
+// handle answers one message; an error ends the session.
+func (s *session) handle(message pgproto3.FrontendMessage) error {
+	if s.skipping {
+		if _, ok := message.(*pgproto3.Sync); !ok {
+			if _, over := message.(*pgproto3.Terminate); over {
+				return errGoodbye
+			}
+			return nil
+		}
+	}
+	switch message := message.(type) {
+	case *pgproto3.Query:
+		return s.ready(s.simpleQuery(message.String))
+	case *pgproto3.Parse:
+		return s.extended(s.parse(message))
+	case *pgproto3.Bind:
+		return s.extended(s.bind(message))
+	case *pgproto3.Describe:
+		return s.extended(s.describe(message))
+	case *pgproto3.Execute:
+		return s.extended(s.execute(message))
+	case *pgproto3.Close:
+		s.closeNamed(message)
+		return nil
+	case *pgproto3.Sync:
+		return s.ready(s.sync())
+	case *pgproto3.Flush:
+		return s.flush()
+	case *pgproto3.Terminate:
+		return errGoodbye
+	default:
+		return s.extended(fail(stateProtocolViolation, "the message is not expected here; send a query"))
+	}
+}
+
+// ready reports an error, if any, and ends the answer; after a fatal one there is no more to say than the reason.
+func (s *session) ready(err error) error {
+	if err != nil {
+		s.sendError(err)
+		if f := asFailure(err); f.fatal {
+			return f
+		}
+	}
+	s.sendReady()
+	return s.flush()
+}
+
+// flush writes what is due; a session terminated meanwhile ends after it.
+func (s *session) flush() error {
+	if err := s.backend.Flush(); err != nil {
+		return errors.Wrap(err, "writing an answer")
+	}
+	return s.endReason()
+}
+
+// simpleQuery runs the statements of one text, outside a block in one transaction.
+func (s *session) simpleQuery(text string) error {
+	statements, err := syntax.Parse(text)
+	if err != nil {
+		return err
+	}
+	if len(statements) == 0 {
+		s.backend.Send(&pgproto3.EmptyQueryResponse{})
+	}
+	for i, st := range statements {
+		r, err := s.run(st, nil)
+		if err == nil && i == len(statements)-1 {
+			err = s.commitImplicit()
+		}
+		if err != nil {
+			return err
+		}
+		s.sendResult(r)
+	}
+	return nil
+}
+
+// sendResult sends columns, rows and tag of a result.
+func (s *session) sendResult(r *result) {
+	s.sendNotice(r)
+	if r.columns != nil {
+		s.backend.Send(describe(r.columns, nil))
+	}
+	for _, row := range r.rows {
+		s.backend.Send(encodeRow(r.columns, row, nil))
+	}
+	s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(r.tag)})
+}
+
+func (s *session) sendNotice(r *result) {
+	if r.notice == nil {
+		return
+	}
+	s.backend.Send(&pgproto3.NoticeResponse{
+		Severity:            "WARNING",
+		SeverityUnlocalized: "WARNING",
+		Code:                string(r.notice.state),
+		Message:             r.notice.message,
+	})
+}
+
+// sendError reports a failed statement, which also fails its transaction.
+func (s *session) sendError(err error) {
+	s.failTransaction()
+	f := asFailure(err)
+	if f.fatal {
+		return
+	}
+	s.backend.Send(f.response())
+}
--- /dev/null
+++ b/io/fakedb/peaks.go
@@ -0,0 +1,61 @@
+package fakedb
+
+import (
+	"sort"
+
+	"turmericpulley/core/types"
+)
+
+// everyCustomer is the row of the peaks that counts all connections and statements.
+const everyCustomer types.CustomerID = "*"
+
+// Peak is the highest use that one customer ever made of a member.
+type Peak struct {
+	Customer types.CustomerID
+	// Connections counts connections inside a statement or a transaction; for the customer "*" it counts open ones.
+	Connections int
+	// Statements counts statements that wait for a slot or run.
+	Statements int
+}
+
+// usage is the present and the highest use by one customer.
+type usage struct {
+	connections int
+	statements  int
+	peak        Peak
+}
+
+// peaks counts the use by each customer.
+type peaks map[types.CustomerID]*usage
+
+func (p peaks) of(customer types.CustomerID) *usage {
+	u := p[customer]
+	if u == nil {
+		u = &usage{peak: Peak{Customer: customer}}
+		p[customer] = u
+	}
+	return u
+}
+
+func (p peaks) addConnections(customer types.CustomerID, delta int) {
+	u := p.of(customer)
+	u.connections += delta
+	u.peak.Connections = max(u.peak.Connections, u.connections)
+}
+
+func (p peaks) addStatements(customer types.CustomerID, delta int) {
+	for _, counted := range []types.CustomerID{customer, everyCustomer} {
+		u := p.of(counted)
+		u.statements += delta
+		u.peak.Statements = max(u.peak.Statements, u.statements)
+	}
+}
+
+func (p peaks) sorted() []Peak {
+	list := make([]Peak, 0, len(p))
+	for _, u := range p {
+		list = append(list, u.peak)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Customer < list[j].Customer })
+	return list
+}
--- /dev/null
+++ b/io/fakedb/pump.go
@@ -0,0 +1,109 @@
+package fakedb
+
+import "time"
+
+// pump receives and applies replicated entries when their lags are over.
+func (m *Member) pump() {
+	for {
+		changed, due, waiting := m.advance()
+		if !waiting {
+			select {
+			case <-changed:
+				continue
+			case <-m.closing:
+				return
+			}
+		}
+		timer := time.NewTimer(time.Until(due))
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-m.closing:
+		}
+		timer.Stop()
+		select {
+		case <-m.closing:
+			return
+		default:
+		}
+	}
+}
+
+// advance does what is due and returns when more will be.
+func (m *Member) advance() (changed <-chan struct{}, due time.Time, waiting bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.role != Replica || m.closed {
+		return m.changed.wait(), time.Time{}, false
+	}
+	now := time.Now()
+	if m.receiveDue(now) {
+		m.changed.broadcast()
+	}
+	if m.applyDue(now) {
+		m.changed.broadcast()
+	}
+	if m.applied < m.log.last() {
+		due, waiting = m.log.entries[m.applied].receivedAt.Add(m.lags.apply), true
+	}
+	if len(m.upstream.pending) > 0 {
+		receipt := m.upstream.pending[0].dueAt(m.lags.receive)
+		if !waiting || receipt.Before(due) {
+			due, waiting = receipt, true
+		}
+	}
+	return m.changed.wait(), due, waiting
+}
+
+// dueAt returns when an entry is received under a lag.
+func (e entry) dueAt(lag time.Duration) time.Time {
+	return time.Unix(0, e.AppendedAt).Add(lag)
+}
+
+// receiveDue moves pending entries into the log; the caller holds the lock.
+func (m *Member) receiveDue(now time.Time) bool {
+	count := 0
+	for count < len(m.upstream.pending) && !m.upstream.pending[count].dueAt(m.lags.receive).After(now) {
+		count++
+	}
+	if count == 0 {
+		return false
+	}
+	batch := m.upstream.pending[:count]
+	records := make([]record, count)
+	for i := range batch {
+		batch[i].receivedAt = now
+		records[i] = record{Entry: &batch[i]}
+	}
+	if err := m.journal.write(records...); err != nil {
+		m.logger.Error("replication stopped", "target", m.settings.ID, "error", err)
+		m.upstream.disconnect()
+		return false
+	}
+	m.log.entries = append(m.log.entries, batch...)
+	m.upstream.pending = m.upstream.pending[count:]
+	return true
+}
+
+// applyDue shows received entries; the caller holds the lock.
+func (m *Member) applyDue(now time.Time) bool {
+	before := m.applied
+	for m.applied < m.log.last() {
+		e := &m.log.entries[m.applied]
+		if e.receivedAt.Add(m.lags.apply).After(now) {
+			break
+		}
+		m.tables.apply(e.Changes)
+		m.applied = e.Position
+	}
+	return m.applied > before
+}
+
+// applyAll shows every received entry at once; the caller holds the lock.
+func (m *Member) applyAll() {
+	for m.applied < m.log.last() {
+		e := &m.log.entries[m.applied]
+		m.tables.apply(e.Changes)
+		m.applied = e.Position
+	}
+}
--- /dev/null
+++ b/io/fakedb/session.go
@@ -0,0 +1,153 @@
+package fakedb
+
+import (
+	"crypto/rand"
+	"net"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"turmericpulley/core/types"
+	"turmericpulley/io/fakedb/syntax"
+)
+
+// secretSize is the length in bytes of the key that a cancel request must show.
+const secretSize = 4
+
+// processID numbers the connections of a member.
+type processID uint32
+
+var errCancelled = fail(stateQueryCanceled, "canceling statement due to user request")
+
+// session is one connection of a caller or an owner.
+type session struct {
+	m       *Member
+	conn    net.Conn
+	backend *pgproto3.Backend
+	process processID
+	secret  []byte
+	epoch   types.Epoch
+	owned   bool
+
+	done      chan struct{}
+	cancelled chan struct{}
+
+	// The member's lock guards these.
+	ended     error
+	tx        *transaction
+	worked    bool
+	running   bool
+	advisory  map[int64]struct{}
+	holdingAs types.CustomerID
+	holding   bool
+
+	// Only the session's own goroutine uses these.
+	settings     settingSet
+	temporary    tables
+	prepared     map[string]*prepared
+	portals      map[string]*portal
+	skipping     bool
+	slotLost     bool
+	sentPosition bool
+	lastPosition types.Position
+}
+
+// prepared is a named statement.
+type prepared struct {
+	statement  syntax.Statement
+	parameters []typeID
+}
+
+func newSession(m *Member, conn net.Conn, backend *pgproto3.Backend, startup map[string]string) *session {
+	secret := make([]byte, secretSize)
+	_, _ = rand.Read(secret)
+	return &session{
+		m:         m,
+		conn:      conn,
+		backend:   backend,
+		secret:    secret,
+		done:      make(chan struct{}),
+		cancelled: make(chan struct{}, 1),
+		advisory:  map[int64]struct{}{},
+		settings:  newSettingSet(startup),
+		temporary: tables{},
+		prepared:  map[string]*prepared{},
+		portals:   map[string]*portal{},
+	}
+}
+
+// terminate ends the session with an error and rolls its transaction back; the caller holds the member's lock.
+func (s *session) terminate(reason error) {
+	if s.ended != nil {
+		return
+	}
+	s.ended = reason
+	s.abort()
+	close(s.done)
+	_ = s.conn.SetReadDeadline(time.Now())
+	_ = s.conn.SetWriteDeadline(time.Now().Add(farewellTimeout))
+}
+
+// endReason returns why the session was terminated, nil when it was not.
+func (s *session) endReason() error {
+	s.m.mu.Lock()
+	defer s.m.mu.Unlock()
+	return s.ended
+}
+
+// cancel interrupts the running statement.
+func (s *session) cancel() {
+	select {
+	case s.cancelled <- struct{}{}:
+	default:
+	}
+}
+
+// forgetCancel drops a cancel request that came while no statement ran.
+func (s *session) forgetCancel() {
+	select {
+	case <-s.cancelled:
+	default:
+	}
+}
+
+// pause waits unless the session is interrupted.
+func (s *session) pause(span time.Duration) error {
+	if span <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	return s.await(timer.C, nil)
+}
+
+// await waits for a timer or a wake-up unless the session is interrupted.
+func (s *session) await(timer <-chan time.Time, wake <-chan struct{}) error {
+	select {
+	case <-timer:
+		return nil
+	case <-wake:
+		return nil
+	case <-s.done:
+		return s.endReason()
+	case <-s.cancelled:
+		return errCancelled
+	}
+}
+
+// customer returns the customer whose statements the connection carries.
+func (s *session) customer() types.CustomerID {
+	return types.CustomerID(s.settings.get(customerSetting))
+}
+
+// state returns what pg_stat_activity shows; the caller holds the member's lock.
+func (s *session) state() string {
+	switch {
+	case s.running:
+		return "active"
+	case s.tx != nil && s.tx.explicit:
+		return "idle in transaction"
+	default:
+		return "idle"
+	}
+}
--- /dev/null
+++ b/io/fakedb/settingset.go
@@ -0,0 +1,117 @@
+package fakedb
+
+import (
+	"maps"
+	"strings"
+)
+
+const (
+	customerSetting        = "pulley.customer"
+	epochSetting           = "pulley.epoch"
+	positionSetting        = "pulley.position"
+	replicationSetting     = "replication"
+	readOnlySetting        = "default_transaction_read_only"
+	standInSettingPrefix   = "pulley_standin."
+	receiveLagSetting      = standInSettingPrefix + "receive_lag"
+	applyLagSetting        = standInSettingPrefix + "apply_lag"
+	statementTimeSetting   = standInSettingPrefix + "statement_time"
+	serverVersion          = "16.0"
+	isolationLevelReported = "read committed"
+)
+
+// settingSet is the settings of one connection.
+type settingSet struct {
+	defaults map[string]string
+	current  map[string]string
+	// before is the state at the first change inside the transaction, nil when there was none.
+	before map[string]string
+	local  map[string]struct{}
+}
+
+func newSettingSet(startup map[string]string) settingSet {
+	defaults := map[string]string{
+		"server_version":              serverVersion,
+		"server_encoding":             "UTF8",
+		"client_encoding":             "UTF8",
+		"standard_conforming_strings": "on",
+		"datestyle":                   "ISO, MDY",
+		"integer_datetimes":           "on",
+		"timezone":                    "UTC",
+		"application_name":            "",
+		"search_path":                 `"$user", public`,
+		"transaction_isolation":       isolationLevelReported,
+		"statement_timeout":           "0",
+		readOnlySetting:               "off",
+		customerSetting:               "",
+	}
+	for name, value := range startup {
+		defaults[strings.ToLower(name)] = value
+	}
+	return settingSet{defaults: defaults, current: maps.Clone(defaults)}
+}
+
+func (t *settingSet) get(name string) string { return t.current[name] }
+
+func (t *settingSet) lookup(name string) (string, bool) {
+	value, ok := t.current[name]
+	return value, ok
+}
+
+// set changes a setting; inside a transaction a rollback undoes it, and a local change ends with the transaction.
+func (t *settingSet) set(name, value string, inTransaction, local bool) {
+	if inTransaction {
+		t.remember()
+	}
+	if local {
+		if !inTransaction {
+			return
+		}
+		t.local[name] = struct{}{}
+	} else {
+		delete(t.local, name)
+	}
+	t.current[name] = value
+}
+
+func (t *settingSet) remember() {
+	if t.before == nil {
+		t.before = maps.Clone(t.current)
+		t.local = map[string]struct{}{}
+	}
+}
+
+// reset restores one setting, or all when the name is empty.
+func (t *settingSet) reset(name string, inTransaction bool) {
+	if inTransaction {
+		t.remember()
+	}
+	if name == "" {
+		t.current = maps.Clone(t.defaults)
+		return
+	}
+	if value, ok := t.defaults[name]; ok {
+		t.current[name] = value
+		return
+	}
+	delete(t.current, name)
+}
+
+// commit ends the local changes of a transaction.
+func (t *settingSet) commit() {
+	for name := range t.local {
+		if value, ok := t.before[name]; ok {
+			t.current[name] = value
+		} else {
+			delete(t.current, name)
+		}
+	}
+	t.before, t.local = nil, nil
+}
+
+// rollback undoes all changes of a transaction.
+func (t *settingSet) rollback() {
+	if t.before != nil {
+		t.current = t.before
+	}
+	t.before, t.local = nil, nil
+}
--- /dev/null
+++ b/io/fakedb/startup.go
@@ -0,0 +1,155 @@
+package fakedb
+
+import (
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"turmericpulley/core/types"
+)
+
+const (
+	// startupTimeout bounds how long a caller may take to send its start-up message.
+	startupTimeout = 10 * time.Second
+	// maxMessageSize is the largest message in bytes that a caller may send.
+	maxMessageSize = 16 << 20
+)
+
+// serve carries one connection from its first byte to its end.
+func (m *Member) serve(conn net.Conn) {
+	backend := pgproto3.NewBackend(conn, conn)
+	backend.SetMaxBodyLen(maxMessageSize)
+	_ = conn.SetReadDeadline(time.Now().Add(startupTimeout))
+	for {
+		message, err := backend.ReceiveStartupMessage()
+		if err != nil {
+			return
+		}
+		switch message := message.(type) {
+		case *pgproto3.SSLRequest, *pgproto3.GSSEncRequest:
+			if _, err := conn.Write([]byte("N")); err != nil {
+				return
+			}
+		case *pgproto3.CancelRequest:
+			m.cancel(processID(message.ProcessID), message.SecretKey)
+			return
+		case *pgproto3.StartupMessage:
+			m.welcome(conn, backend, message.Parameters)
+			return
+		default:
+			return
+		}
+	}
+}
+
+// cancel interrupts the statement of the connection that a cancel request names.
+func (m *Member) cancel(process processID, secret []byte) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s := m.sessions[process]; s != nil && string(s.secret) == string(secret) {
+		s.cancel()
+	}
+}
+
+// welcome admits a connection and serves it.
+func (m *Member) welcome(conn net.Conn, backend *pgproto3.Backend, parameters map[string]string) {
+	if parameters[replicationSetting] == "true" {
+		_ = conn.SetReadDeadline(time.Time{})
+		m.feed(conn, backend)
+		return
+	}
+	s := newSession(m, conn, backend, parameters)
+	if err := s.readEpoch(parameters); err != nil {
+		s.refuse(err)
+		return
+	}
+	if err := m.admit(s); err != nil {
+		s.refuse(err)
+		return
+	}
+	defer m.dismiss(s)
+	s.greet()
+}
+
+// readEpoch takes the owner's epoch from the start-up parameters.
+func (s *session) readEpoch(parameters map[string]string) error {
+	text, ok := parameters[epochSetting]
+	if !ok {
+		return nil
+	}
+	epoch, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return failFatal(stateInvalidParameter, "pulley.epoch must be a whole number, not "+text)
+	}
+	s.epoch = types.Epoch(epoch)
+	s.owned = true
+	return nil
+}
+
+// admit registers a session within the cap and the epochs.
+func (m *Member) admit(s *session) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return failFatal(stateCannotConnectNow, "the member is stopping; connect to another")
+	}
+	if s.owned && s.epoch < m.promises.Epoch {
+		return failFatal(stateCannotConnectNow, "a higher epoch claimed this member; validate the ownership again")
+	}
+	if limit := m.settings.Connections; limit > 0 {
+		if s.owned {
+			limit++
+		}
+		if len(m.sessions) >= limit {
+			return failFatal(stateTooManyConnections, "sorry, too many clients already")
+		}
+	}
+	m.lastProcess++
+	s.process = m.lastProcess
+	m.sessions[s.process] = s
+	m.peaks.addConnections(everyCustomer, 1)
+	_ = s.conn.SetReadDeadline(time.Time{})
+	return nil
+}
+
+// dismiss forgets a session and all that it holds.
+func (m *Member) dismiss(s *session) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s.abort()
+	s.tx = nil
+	s.releaseAdvisory()
+	s.updateHolding(false)
+	delete(m.sessions, s.process)
+	m.peaks.addConnections(everyCustomer, -1)
+}
+
+func (s *session) refuse(err error) {
+	s.backend.Send(asFailure(err).response())
+	_ = s.backend.Flush()
+}
+
+// greet answers the start-up message after the cost of a connection and serves the session.
+func (s *session) greet() {
+	if err := s.pause(s.m.settings.ConnectCost); err != nil {
+		s.refuse(err)
+		return
+	}
+	s.backend.Send(&pgproto3.AuthenticationOk{})
+	for _, name := range reportedSettings {
+		s.report(name)
+	}
+	s.backend.Send(&pgproto3.BackendKeyData{ProcessID: uint32(s.process), SecretKey: s.secret})
+	s.sendReady()
+	if s.backend.Flush() == nil {
+		s.loop()
+	}
+}
+
+// reportedSettings are the settings whose values the caller is told without asking.
+var reportedSettings = []string{
+	"server_version", "server_encoding", "client_encoding", "standard_conforming_strings",
+	"DateStyle", "integer_datetimes", "TimeZone", "application_name",
+}
--- /dev/null
+++ b/io/fakedb/status.go
@@ -0,0 +1,94 @@
+package fakedb
+
+import (
+	"strconv"
+	"time"
+
+	"turmericpulley/core/types"
+)
+
+// streamingWindow is how recently a replica must have heard its primary to count as streaming.
+const streamingWindow = 500 * time.Millisecond
+
+// never is the age reported for a call that was not received.
+const never time.Duration = -1
+
+// Status is what a member reports about itself.
+type Status struct {
+	Target      types.TargetID
+	Role        Role
+	Term        types.Term
+	FencedTerm  types.Term
+	LogTerm     types.Term
+	Position    types.Position
+	Applied     types.Position
+	Committed   types.Position
+	Members     int
+	Epoch       types.Epoch
+	SinceOwner  time.Duration
+	Leaving     bool
+	Discarded   uint64
+	Streaming   bool
+	Connections int
+}
+
+// Status returns what the member reports about itself.
+func (m *Member) Status() Status {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.status()
+}
+
+// status builds the report; the caller holds the lock.
+func (m *Member) status() Status {
+	committed := m.committed
+	if m.role == Replica {
+		committed = m.applied
+	}
+	return Status{
+		Target:      m.settings.ID,
+		Role:        m.role,
+		Term:        m.promises.Term,
+		FencedTerm:  m.promises.FencedTerm,
+		LogTerm:     m.log.termAt(m.log.last()),
+		Position:    m.log.last(),
+		Applied:     m.applied,
+		Committed:   committed,
+		Members:     m.settings.Members,
+		Epoch:       m.promises.Epoch,
+		SinceOwner:  m.ownerCalls.sinceOlder(m.promises.Epoch),
+		Leaving:     m.leaving,
+		Discarded:   m.promises.Discarded,
+		Streaming:   m.role == Primary || time.Since(m.upstream.heardAt) <= streamingWindow,
+		Connections: len(m.sessions),
+	}
+}
+
+// result returns the report as one row of text columns.
+func (s Status) result() *result {
+	sinceOwner := int64(never)
+	if s.SinceOwner != never {
+		sinceOwner = s.SinceOwner.Milliseconds()
+	}
+	r := &result{tag: "SELECT 1", rows: make([]row, 1)}
+	add := func(name, value string) {
+		r.columns = append(r.columns, column{name, textType})
+		r.rows[0] = append(r.rows[0], textDatum(value))
+	}
+	add("target", string(s.Target))
+	add("role", string(s.Role))
+	add("term", s.Term.String())
+	add("fencedTerm", s.FencedTerm.String())
+	add("logTerm", s.LogTerm.String())
+	add("position", s.Position.String())
+	add("applied", s.Applied.String())
+	add("committed", s.Committed.String())
+	add("members", strconv.Itoa(s.Members))
+	add("epoch", s.Epoch.String())
+	add("sinceOwnerMs", strconv.FormatInt(sinceOwner, 10))
+	add("leaving", strconv.FormatBool(s.Leaving))
+	add("discarded", strconv.FormatUint(s.Discarded, 10))
+	add("streaming", strconv.FormatBool(s.Streaming))
+	add("connections", strconv.Itoa(s.Connections))
+	return r
+}
--- /dev/null
+++ b/io/fakedb/stop.go
@@ -0,0 +1,58 @@
+package fakedb
+
+import "time"
+
+// farewellTimeout bounds the writing of the last message to a connection.
+const farewellTimeout = time.Second
+
+// Close stops the member at once, like a kill; nothing that is not yet answered will be.
+func (m *Member) Close() error {
+	return m.stop(func() {
+		for conn := range m.conns {
+			_ = conn.Close()
+		}
+	})
+}
+
+// Leave reports that the member is leaving, serves for the grace period and then ends every connection with 57P01.
+func (m *Member) Leave(grace time.Duration) error {
+	m.mu.Lock()
+	m.leaving = true
+	m.changed.broadcast()
+	m.mu.Unlock()
+	timer := time.NewTimer(grace)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-m.closing:
+	}
+	return m.stop(func() {
+		deadline := time.Now().Add(farewellTimeout)
+		for conn := range m.conns {
+			_ = conn.SetDeadline(deadline)
+		}
+	})
+}
+
+// stop ends all work, lets the caller end the connections, and waits.
+func (m *Member) stop(endConnections func()) error {
+	m.mu.Lock()
+	if !m.closed {
+		m.closed = true
+		close(m.closing)
+	}
+	for _, s := range m.sessions {
+		s.terminate(failFatal(stateAdminShutdown, "terminating connection because the member is stopping"))
+	}
+	endConnections()
+	m.upstream.disconnect()
+	m.changed.broadcast()
+	m.mu.Unlock()
+	_ = m.listener.Close()
+	m.work.Wait()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	err := m.journal.close()
+	m.journal = nil
+	return err
+}
--- /dev/null
+++ b/io/fakedb/syntax/doc.go
@@ -0,0 +1,2 @@
+// Package syntax matches the few forms of SQL that the member stand-in understands.
+package syntax
--- /dev/null
+++ b/io/fakedb/syntax/parsedata.go
@@ -0,0 +1,169 @@
+package syntax
+
+// statement matches one statement by its first word.
+func (p *parser) statement() (Statement, error) {
+	first := p.peek()
+	if first.kind != wordToken {
+		return nil, p.failure()
+	}
+	p.at++
+	switch first.text {
+	case "insert":
+		return p.insert()
+	case "update":
+		return p.update()
+	case "delete":
+		return p.remove()
+	case "select":
+		return p.selection()
+	case "create":
+		return p.createTemp()
+	default:
+		return p.sessionStatement(first.text)
+	}
+}
+
+func (p *parser) insert() (Statement, error) {
+	var found Insert
+	var err error
+	if err = p.expect("into"); err != nil {
+		return nil, err
+	}
+	if found.Table, err = p.name(); err != nil {
+		return nil, err
+	}
+	if err = p.expect("(", "key", ",", "value", ")", "values", "("); err != nil {
+		return nil, err
+	}
+	if found.Key, err = p.operand(); err != nil {
+		return nil, err
+	}
+	if err = p.expect(","); err != nil {
+		return nil, err
+	}
+	if found.Value, err = p.operand(); err != nil {
+		return nil, err
+	}
+	if err = p.expect(")"); err != nil {
+		return nil, err
+	}
+	if p.words("on", "conflict") {
+		found.Upsert = true
+		err = p.expect("(", "key", ")", "do", "update", "set", "value", "=", "excluded", ".", "value")
+		if err != nil {
+			return nil, err
+		}
+	}
+	found.Returning, err = p.returning()
+	return found, err
+}
+
+func (p *parser) update() (Statement, error) {
+	var found Update
+	var err error
+	if found.Table, err = p.name(); err != nil {
+		return nil, err
+	}
+	if err = p.expect("set", "value", "="); err != nil {
+		return nil, err
+	}
+	if p.words("value") {
+		found.Add = true
+		if err = p.cast(); err != nil {
+			return nil, err
+		}
+		if err = p.expect("+"); err != nil {
+			return nil, err
+		}
+	}
+	if found.Value, err = p.operand(); err != nil {
+		return nil, err
+	}
+	if found.Key, err = p.whereKey(); err != nil {
+		return nil, err
+	}
+	found.Returning, err = p.returning()
+	return found, err
+}
+
+func (p *parser) remove() (Statement, error) {
+	var found Delete
+	var err error
+	if err = p.expect("from"); err != nil {
+		return nil, err
+	}
+	if found.Table, err = p.name(); err != nil {
+		return nil, err
+	}
+	if found.Key, err = p.whereKey(); err != nil {
+		return nil, err
+	}
+	found.Returning, err = p.returning()
+	return found, err
+}
+
+func (p *parser) whereKey() (Operand, error) {
+	if err := p.expect("where", "key", "="); err != nil {
+		return Operand{}, err
+	}
+	return p.operand()
+}
+
+func (p *parser) returning() ([]string, error) {
+	if !p.words("returning") {
+		return nil, nil
+	}
+	return p.columns()
+}
+
+// columns reads the names key and value, or a star for both.
+func (p *parser) columns() ([]string, error) {
+	if p.symbol("*") {
+		return []string{"key", "value"}, nil
+	}
+	var list []string
+	for {
+		name := p.peek()
+		if !name.isWord("key") && !name.isWord("value") {
+			return nil, p.failure()
+		}
+		p.at++
+		list = append(list, name.text)
+		if !p.symbol(",") {
+			return list, nil
+		}
+	}
+}
+
+func (p *parser) createTemp() (Statement, error) {
+	if !p.words("temp") && !p.words("temporary") {
+		return nil, p.failure()
+	}
+	if err := p.expect("table"); err != nil {
+		return nil, err
+	}
+	name, err := p.name()
+	if err != nil {
+		return nil, err
+	}
+	return CreateTemp{Table: name}, p.skipColumns()
+}
+
+// skipColumns passes over the column definitions of a table.
+func (p *parser) skipColumns() error {
+	if err := p.expect("("); err != nil {
+		return err
+	}
+	for depth := 1; depth > 0; {
+		t := p.take()
+		switch {
+		case t.kind == endToken:
+			return p.failure()
+		case t.isSymbol("("):
+			depth++
+		case t.isSymbol(")"):
+			depth--
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/io/fakedb/syntax/parseselect.go
@@ -0,0 +1,108 @@
+package syntax
+
+// selection matches what follows the word select.
+func (p *parser) selection() (Statement, error) {
+	next := p.peek()
+	switch {
+	case next.kind == numberToken, next.kind == textToken, next.kind == parameterToken, next.isSymbol("-"):
+		value, err := p.operand()
+		return Constant{Value: value}, err
+	case next.isSymbol("*"):
+		p.at++
+		return p.fromTableOrCall()
+	case next.isWord("key"), next.isWord("value"):
+		return p.rows()
+	case next.isWord("state"):
+		return p.activity()
+	case next.isWord("count"):
+		return p.count()
+	default:
+		return p.call()
+	}
+}
+
+func (p *parser) fromTableOrCall() (Statement, error) {
+	if err := p.expect("from"); err != nil {
+		return nil, err
+	}
+	start := p.at
+	name, err := p.name()
+	if err != nil {
+		return nil, err
+	}
+	if p.peek().isSymbol("(") {
+		p.at = start
+		return p.call()
+	}
+	filter, err := p.filter()
+	return Select{Table: name, Columns: []string{"key", "value"}, Filter: filter}, err
+}
+
+func (p *parser) rows() (Statement, error) {
+	columns, err := p.columns()
+	if err != nil {
+		return nil, err
+	}
+	if err = p.expect("from"); err != nil {
+		return nil, err
+	}
+	name, err := p.name()
+	if err != nil {
+		return nil, err
+	}
+	filter, err := p.filter()
+	return Select{Table: name, Columns: columns, Filter: filter}, err
+}
+
+func (p *parser) count() (Statement, error) {
+	if err := p.expect("count", "(", "*", ")", "from"); err != nil {
+		return nil, err
+	}
+	name, err := p.name()
+	if err != nil {
+		return nil, err
+	}
+	filter, err := p.filter()
+	return Select{Table: name, Count: true, Filter: filter}, err
+}
+
+// filter reads an optional WHERE clause and an optional order, which is always by key.
+func (p *parser) filter() (Filter, error) {
+	var found Filter
+	if p.words("where") {
+		if err := p.expect("key"); err != nil {
+			return found, err
+		}
+		found.Kind = KeyEquals
+		if p.words("like") {
+			found.Kind = KeyLike
+		} else if err := p.expect("="); err != nil {
+			return found, err
+		}
+		var err error
+		if found.Operand, err = p.operand(); err != nil {
+			return found, err
+		}
+	}
+	if p.words("order") {
+		return found, p.expect("by", "key")
+	}
+	return found, nil
+}
+
+func (p *parser) activity() (Statement, error) {
+	if err := p.expect("state", "from", "pg_stat_activity", "where", "pid", "="); err != nil {
+		return nil, err
+	}
+	process, err := p.operand()
+	return Activity{Process: process}, err
+}
+
+func (p *parser) call() (Statement, error) {
+	name, err := p.name()
+	if err != nil {
+		return nil, err
+	}
+	arguments, err := p.operands()
+	return Call{Name: name, Arguments: arguments}, err
+}
--- /dev/null
+++ b/io/fakedb/tables.go
@@ -0,0 +1,33 @@
+package fakedb
+
+// tables holds the rows of every table.
+type tables map[string]map[string]string
+
+func (t tables) get(table, key string) (string, bool) {
+	value, ok := t[table][key]
+	return value, ok
+}
+
+func (t tables) apply(changes []change) {
+	for _, c := range changes {
+		if c.Deleted {
+			delete(t[c.Table], c.Key)
+			continue
+		}
+		rows := t[c.Table]
+		if rows == nil {
+			rows = map[string]string{}
+			t[c.Table] = rows
+		}
+		rows[c.Key] = c.Value
+	}
+}
+
+// rebuild returns the rows that a log leads to.
+func rebuild(entries []entry) tables {
+	t := tables{}
+	for i := range entries {
+		t.apply(entries[i].Changes)
+	}
+	return t
+}
--- /dev/null
+++ b/io/fakedb/transaction.go
@@ -0,0 +1,125 @@
+package fakedb
+
+import (
+	"time"
+
+	"turmericpulley/io/fakedb/syntax"
+)
+
+// transaction is the open work of one session; the member's lock guards it.
+type transaction struct {
+	// explicit is set inside BEGIN and COMMIT.
+	explicit bool
+	failed   bool
+	access   syntax.AccessMode
+	order    []rowKey
+	rows     map[rowKey]change
+	locked   map[rowKey]struct{}
+}
+
+func newTransaction() *transaction {
+	return &transaction{rows: map[rowKey]change{}, locked: map[rowKey]struct{}{}}
+}
+
+func (t *transaction) write(c change) {
+	key := rowKey{c.Table, c.Key}
+	if _, ok := t.rows[key]; !ok {
+		t.order = append(t.order, key)
+	}
+	t.rows[key] = c
+}
+
+func (t *transaction) changes() []change {
+	list := make([]change, len(t.order))
+	for i, key := range t.order {
+		list[i] = t.rows[key]
+	}
+	return list
+}
+
+// open returns the session's transaction, a new implicit one when there is none; the caller holds the lock.
+func (s *session) open() *transaction {
+	if s.tx == nil {
+		s.tx = newTransaction()
+	}
+	return s.tx
+}
+
+// abort drops the writes and locks of the open transaction; the caller holds the lock.
+func (s *session) abort() {
+	if s.tx == nil {
+		return
+	}
+	s.m.unlockRows(s.tx)
+	s.tx.order = nil
+	s.tx.rows = map[rowKey]change{}
+}
+
+// failTransaction aborts the open transaction after an error; a block stays open until its end is asked for.
+func (s *session) failTransaction() {
+	s.m.mu.Lock()
+	defer s.m.mu.Unlock()
+	if s.tx == nil {
+		return
+	}
+	s.abort()
+	if s.tx.explicit {
+		s.tx.failed = true
+		return
+	}
+	s.tx = nil
+	s.settings.rollback()
+}
+
+// commitImplicit commits a transaction that no BEGIN opened.
+func (s *session) commitImplicit() error {
+	s.m.mu.Lock()
+	defer s.m.mu.Unlock()
+	if s.tx == nil || s.tx.explicit {
+		return nil
+	}
+	return s.commit()
+}
+
+// commit makes the open transaction one log entry; the caller holds the lock.
+func (s *session) commit() error {
+	if s.ended != nil {
+		return s.ended
+	}
+	tx := s.tx
+	if len(tx.order) > 0 {
+		if s.m.role != Primary {
+			return errReadOnly("COMMIT")
+		}
+		if err := s.m.append(tx.changes()); err != nil {
+			return err
+		}
+	}
+	s.m.unlockRows(tx)
+	s.tx = nil
+	s.settings.commit()
+	return nil
+}
+
+// append adds a log entry on the primary and shows it; the caller holds the lock.
+func (m *Member) append(changes []change) error {
+	e := entry{
+		Position:   m.log.last() + 1,
+		Term:       m.promises.Term,
+		AppendedAt: time.Now().UnixNano(),
+		Changes:    changes,
+	}
+	if err := m.journal.write(record{Entry: &e}); err != nil {
+		return err
+	}
+	m.log.append(e)
+	m.tables.apply(changes)
+	m.applied = e.Position
+	m.countCommitted()
+	m.changed.broadcast()
+	return nil
+}
+
+func errReadOnly(command string) error {
+	return fail(stateReadOnly, "cannot execute "+command+" in a read-only transaction")
+}
--- /dev/null
+++ b/io/fakedb/watch.go
@@ -0,0 +1,78 @@
+package fakedb
+
+import (
+	"time"
+
+	"turmericpulley/core/types"
+	"turmericpulley/io/fakedb/syntax"
+)
+
+// runWatch waits for a change of the status.
+func (s *session) runWatch(st syntax.Call, args arguments) (*result, error) {
+	if err := expectArguments(st, 2, 2); err != nil {
+		return nil, err
+	}
+	after, err := args.integer(st.Arguments[0])
+	if err != nil {
+		return nil, err
+	}
+	limit, err := args.integer(st.Arguments[1])
+	if err != nil {
+		return nil, err
+	}
+	status, err := s.watch(types.Position(after), time.Duration(limit)*time.Millisecond)
+	if err != nil {
+		return nil, err
+	}
+	return status.result(), nil
+}
+
+// watch returns once the member shows more than a position, its standing changes, or the limit is over.
+func (s *session) watch(after types.Position, limit time.Duration) (Status, error) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	m := s.m
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.noteOwner(s)
+	first := m.status()
+	for now := first; !now.news(first, after); now = m.status() {
+		if s.ended != nil {
+			return Status{}, s.ended
+		}
+		changed := m.changed.wait()
+		m.mu.Unlock()
+		over, err := s.awaitChange(timer.C, changed)
+		m.mu.Lock()
+		if err != nil {
+			return Status{}, err
+		}
+		if over {
+			break
+		}
+	}
+	return m.status(), nil
+}
+
+// awaitChange waits for a change and reports whether the time was over first.
+func (s *session) awaitChange(timer <-chan time.Time, changed <-chan struct{}) (bool, error) {
+	select {
+	case <-changed:
+		return false, nil
+	case <-timer:
+		return true, nil
+	case <-s.done:
+		return false, s.endReason()
+	case <-s.cancelled:
+		return false, errCancelled
+	}
+}
+
+// news reports whether a watch that began at first has something to tell.
+func (s Status) news(first Status, after types.Position) bool {
+	return s.Committed > after ||
+		s.Role != first.Role ||
+		s.Term != first.Term ||
+		s.Epoch != first.Epoch ||
+		s.Leaving != first.Leaving
+}
