feat: service that connects the instances of a region

Transport over yamux and protobuf, membership by compare-and-swap, documents by watch, push and fetch, heartbeats with probes, failure reports and freshness.

--- a/core/fleet/monitor.go
+++ b/core/fleet/monitor.go
@@ -41,8 +41,10 @@
 	suspected bool
 }
 
-// NewMonitor returns a monitor that gives the instance the benefit of the doubt from now on.
-func NewMonitor(now time.Time) *Monitor { return &Monitor{heard: now, sent: now} }
+// NewMonitor returns a monitor that counts the instance as heard now and wants a heartbeat at once.
+func NewMonitor(now time.Time) *Monitor {
+	return &Monitor{heard: now, sent: now.Add(-HeartbeatInterval)}
+}
 
 // Next returns what to do next.
 func (m *Monitor) Next() Step {
--- a/core/relay/age.go
+++ b/core/relay/age.go
@@ -28,3 +28,6 @@
 	}
 	return at.Add(-time.Duration(a) * ageUnit)
 }
+
+// NewAge returns the age for a number of hundredths of a second.
+func NewAge(hundredths uint32) Age { return Age(min(hundredths, uint32(unknownAge))) }
--- /dev/null
+++ b/io/peers/codec.go
@@ -0,0 +1,103 @@
+package peers
+
+import (
+	"encoding/binary"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"turmericpulley/core/fault"
+)
+
+const (
+	// maxMessageBytes is the size of the largest message.
+	maxMessageBytes = 16 << 20
+	// headerBytes is the size of the length before each message.
+	headerBytes = 4
+	// firstBufferBytes is the size that buffers start with.
+	firstBufferBytes = 512
+	// keptBufferBytes is the size of the largest buffer that is kept for the next message.
+	keptBufferBytes = 256 << 10
+)
+
+// codec reads and writes messages on a connection and reuses its buffers.
+type codec struct {
+	conn     net.Conn
+	counters *Counters
+	sending  sync.Mutex
+	out      []byte
+	in       []byte
+}
+
+func newCodec(conn net.Conn, counters *Counters) *codec {
+	buffer := make([]byte, 2*firstBufferBytes)
+	return &codec{
+		conn:     conn,
+		counters: counters,
+		out:      buffer[0:0:firstBufferBytes],
+		in:       buffer[firstBufferBytes:],
+	}
+}
+
+// write sends the message with a single write.
+func (c *codec) write(message proto.Message) error {
+	c.sending.Lock()
+	defer c.sending.Unlock()
+	encoded, err := proto.MarshalOptions{}.MarshalAppend(append(c.out[:0], 0, 0, 0, 0), message)
+	if err != nil {
+		return errors.Wrap(err, "encoding a message")
+	}
+	if len(encoded)-headerBytes > maxMessageBytes {
+		return fault.New(fault.ProtocolViolation, "a message to another instance exceeds 16 MiB")
+	}
+	if cap(encoded) <= keptBufferBytes {
+		c.out = encoded
+	}
+	binary.BigEndian.PutUint32(encoded, uint32(len(encoded)-headerBytes))
+	_, err = c.conn.Write(encoded)
+	return errors.Wrap(err, "sending to another instance")
+}
+
+// read waits for the next message; io.EOF means that the other end closed properly.
+func (c *codec) read(message proto.Message) error {
+	header := c.in[:headerBytes]
+	if _, err := io.ReadFull(c.conn, header); err != nil {
+		if errors.Is(err, io.EOF) {
+			return io.EOF
+		}
+		return errors.Wrap(err, "receiving from another instance")
+	}
+	size := binary.BigEndian.Uint32(header)
+	if size > maxMessageBytes {
+		return c.violation("a message of " + strconv.FormatUint(uint64(size), 10) + " bytes exceeds 16 MiB")
+	}
+	body := c.buffer(int(size))
+	if _, err := io.ReadFull(c.conn, body); err != nil {
+		return errors.Wrap(err, "receiving from another instance")
+	}
+	if err := proto.Unmarshal(body, message); err != nil {
+		return c.violation("a message from another instance cannot be decoded")
+	}
+	return nil
+}
+
+// buffer returns room for a message and keeps it for the next one unless it is large.
+func (c *codec) buffer(size int) []byte {
+	if size <= len(c.in) {
+		return c.in[:size]
+	}
+	grown := make([]byte, size)
+	if size <= keptBufferBytes {
+		c.in = grown
+	}
+	return grown
+}
+
+func (c *codec) violation(detail string) error {
+	c.counters.ProtocolViolations.Add(1)
+	return fault.New(fault.ProtocolViolation, detail)
+}
--- /dev/null
+++ b/io/peers/conn.go
@@ -0,0 +1,70 @@
+package peers
+
+import (
+	"encoding/binary"
+	"net"
+
+	"github.com/pkg/errors"
+)
+
+// Layout of the headers of yamux.
+const (
+	muxHeaderBytes     = 12
+	muxTypeOffset      = 1
+	muxFlagsOffset     = 2
+	muxLengthOffset    = 8
+	muxTypeData        = 0
+	muxTypeWindow      = 1
+	muxFlagOpen        = 1
+	maxHeldHeaderBytes = 4 << 10
+)
+
+// conn joins the header of a message, and the opening of a stream, with what is written next, and counts bytes.
+type conn struct {
+	net.Conn
+	counters *Counters
+	pending  []byte
+}
+
+// Write holds back a header that is always followed by more and sends everything else; yamux writes from one goroutine.
+func (c *conn) Write(data []byte) (int, error) {
+	if isLeading(data) && len(c.pending) < maxHeldHeaderBytes {
+		c.pending = append(c.pending, data...)
+		return len(data), nil
+	}
+	if len(c.pending) == 0 {
+		sent, err := c.Conn.Write(data)
+		c.counters.BytesSent.Add(uint64(sent))
+		return sent, errors.Wrap(err, "writing to another instance")
+	}
+	c.pending = append(c.pending, data...)
+	sent, err := c.Conn.Write(c.pending)
+	c.counters.BytesSent.Add(uint64(sent))
+	c.pending = c.pending[:0]
+	if err != nil {
+		return 0, errors.Wrap(err, "writing to another instance")
+	}
+	return len(data), nil
+}
+
+// Read counts the bytes that arrive.
+func (c *conn) Read(data []byte) (int, error) {
+	received, err := c.Conn.Read(data)
+	c.counters.BytesReceived.Add(uint64(received))
+	return received, err
+}
+
+// isLeading reports whether the data is a header that the sender always follows with more.
+func isLeading(data []byte) bool {
+	if len(data) != muxHeaderBytes {
+		return false
+	}
+	switch data[muxTypeOffset] {
+	case muxTypeData:
+		return binary.BigEndian.Uint32(data[muxLengthOffset:]) > 0
+	case muxTypeWindow:
+		return binary.BigEndian.Uint16(data[muxFlagsOffset:])&muxFlagOpen != 0
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/io/peers/links.go
@@ -0,0 +1,124 @@
+package peers
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"turmericpulley/core/fault"
+)
+
+const (
+	// idleLimit is how long a session without streams stays open.
+	idleLimit = time.Minute
+	// sweepInterval is the time between two searches for idle sessions.
+	sweepInterval = 10 * time.Second
+)
+
+// links holds the standing sessions to other instances by their address.
+type links struct {
+	mapped   func(address string) string
+	counters *Counters
+	stop     chan struct{}
+	running  sync.WaitGroup
+
+	mu     sync.Mutex
+	held   map[string]*link
+	closed bool
+}
+
+func newLinks(mapped func(string) string, counters *Counters) *links {
+	l := &links{mapped: mapped, counters: counters, stop: make(chan struct{}), held: make(map[string]*link)}
+	l.running.Go(func() {
+		ticker := time.NewTicker(sweepInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-l.stop:
+				return
+			case <-ticker.C:
+				l.sweep(time.Now().Add(-idleLimit))
+			}
+		}
+	})
+	return l
+}
+
+// open opens a stream to the instance at the address, once more on a new session when the first has just ended.
+func (l *links) open(ctx context.Context, address string) (*yamux.Stream, error) {
+	held, err := l.link(address)
+	if err != nil {
+		return nil, err
+	}
+	session, err := held.get(ctx)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := session.OpenStream()
+	if err == nil {
+		return stream, nil
+	}
+	closeQuietly(session)
+	if session, err = held.get(ctx); err != nil {
+		return nil, err
+	}
+	return session.OpenStream()
+}
+
+// fresh opens a session of its own to the address.
+func (l *links) fresh(ctx context.Context, address string) (*yamux.Session, error) {
+	return dialSession(ctx, l.mapped(address), l.counters)
+}
+
+// replace makes a fresh session the standing one.
+func (l *links) replace(address string, session *yamux.Session) {
+	held, err := l.link(address)
+	if err != nil {
+		closeQuietly(session)
+		return
+	}
+	held.replace(session)
+}
+
+// close ends all sessions.
+func (l *links) close() {
+	close(l.stop)
+	l.running.Wait()
+	l.mu.Lock()
+	l.closed = true
+	held := l.held
+	l.held = nil
+	l.mu.Unlock()
+	closing := sync.WaitGroup{}
+	for _, link := range held {
+		closing.Go(link.close)
+	}
+	closing.Wait()
+}
+
+func (l *links) link(address string) (*link, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil, fault.New(fault.Stopping, "the links to other instances are closed")
+	}
+	held := l.held[address]
+	if held == nil {
+		held = newLink(l.mapped(address), l.counters)
+		l.held[address] = held
+	}
+	held.touch()
+	return held, nil
+}
+
+func (l *links) sweep(since time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for address, link := range l.held {
+		if link.closeIdle(since) {
+			delete(l.held, address)
+		}
+	}
+}
--- /dev/null
+++ b/io/peers/open.go
@@ -0,0 +1,59 @@
+package peers
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"turmericpulley/core/fault"
+	"turmericpulley/core/types"
+	"turmericpulley/io/wire"
+)
+
+// openTimeout bounds the opening of a transaction whose context has no deadline.
+const openTimeout = time.Second
+
+// Open starts a transaction at another instance. A fault of the kind fault.NoOwner means that nothing ran: at most the
+// Begin has arrived, and an owner runs nothing before the first frame.
+func (s *Service) Open(ctx context.Context, id types.InstanceID, begin *wire.Begin) (Stream, error) {
+	address, found := s.node.address(id)
+	if !found {
+		return nil, fault.New(fault.NoOwner, "instance "+string(id)+" is not a member")
+	}
+	opened, err := s.node.open(ctx, address, begin)
+	if err != nil {
+		return nil, fault.New(fault.NoOwner, "instance "+string(id)+" cannot be reached: "+err.Error())
+	}
+	s.node.counters.StreamsOpened.Add(1)
+	return opened, nil
+}
+
+func (n *node) open(ctx context.Context, address string, begin *wire.Begin) (*remote, error) {
+	stream, err := n.links.open(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	opened := &remote{
+		conn:      stream,
+		codec:     newCodec(stream, n.counters),
+		requestID: types.RequestID(begin.GetRequestId()),
+		abort:     func() { closeQuietly(stream.Session()) },
+	}
+	if err = opened.begin(deadlineOf(ctx, openTimeout), begin); err != nil {
+		closeQuietly(stream)
+		return nil, err
+	}
+	return opened, nil
+}
+
+// begin writes the first message and then lifts the deadline.
+func (r *remote) begin(deadline time.Time, begin *wire.Begin) error {
+	if err := r.conn.SetWriteDeadline(deadline); err != nil {
+		return errors.Wrap(err, "setting a deadline")
+	}
+	if err := r.codec.write(&wire.Request{Kind: &wire.Request_Begin{Begin: begin}}); err != nil {
+		return err
+	}
+	return errors.Wrap(r.conn.SetWriteDeadline(time.Time{}), "lifting a deadline")
+}
--- /dev/null
+++ b/io/peers/pipe.go
@@ -0,0 +1,129 @@
+package peers
+
+import (
+	"io"
+	"os"
+	"sync"
+	"time"
+
+	"turmericpulley/core/types"
+	"turmericpulley/io/wire"
+)
+
+// pipeFrames is the number of frames that a pipe holds in each direction.
+const pipeFrames = 16
+
+// pipe is one end of a stream inside the process.
+type pipe struct {
+	requestID types.RequestID
+	counters  *Counters
+	incoming  <-chan *wire.Frame
+	outgoing  chan<- *wire.Frame
+	closing   sync.Once
+	closed    chan struct{}
+	peer      <-chan struct{}
+	deadline  *deadline
+}
+
+// Pipe returns the two ends of a stream inside the process, for an owner that is the caller's own instance.
+func Pipe(requestID types.RequestID) (Stream, Stream) { return newPipe(requestID, &Counters{}) }
+
+func newPipe(requestID types.RequestID, counters *Counters) (Stream, Stream) {
+	there, back := make(chan *wire.Frame, pipeFrames), make(chan *wire.Frame, pipeFrames)
+	a := &pipe{
+		requestID: requestID, counters: counters, incoming: back, outgoing: there,
+		closed: make(chan struct{}), deadline: newDeadline(),
+	}
+	b := &pipe{
+		requestID: requestID, counters: counters, incoming: there, outgoing: back,
+		closed: make(chan struct{}), deadline: newDeadline(),
+	}
+	a.peer, b.peer = b.closed, a.closed
+	return a, b
+}
+
+// Send passes the frame to the other end.
+func (p *pipe) Send(frame *wire.Frame) error {
+	if err := p.check(frame); err != nil {
+		return err
+	}
+	passed := p.deadline.done()
+	select {
+	case <-p.closed:
+		return io.ErrClosedPipe
+	case <-p.peer:
+		return io.ErrClosedPipe
+	case <-passed:
+		return os.ErrDeadlineExceeded
+	default:
+	}
+	select {
+	case p.outgoing <- frame:
+		return nil
+	case <-p.closed:
+		return io.ErrClosedPipe
+	case <-p.peer:
+		return io.ErrClosedPipe
+	case <-passed:
+		return os.ErrDeadlineExceeded
+	}
+}
+
+// Receive waits for the next frame from the other end.
+func (p *pipe) Receive() (*wire.Frame, error) {
+	select {
+	case frame := <-p.incoming:
+		return p.received(frame)
+	default:
+	}
+	select {
+	case frame := <-p.incoming:
+		return p.received(frame)
+	case <-p.closed:
+		return nil, io.ErrClosedPipe
+	case <-p.peer:
+		return p.last()
+	case <-p.deadline.done():
+		return nil, os.ErrDeadlineExceeded
+	}
+}
+
+// SetDeadline bounds Send and Receive.
+func (p *pipe) SetDeadline(deadline time.Time) error {
+	p.deadline.set(deadline)
+	return nil
+}
+
+// Close ends the stream.
+func (p *pipe) Close() error {
+	p.closing.Do(func() {
+		close(p.closed)
+		p.deadline.set(time.Time{})
+	})
+	return nil
+}
+
+// last returns a frame that was sent before the other end closed.
+func (p *pipe) last() (*wire.Frame, error) {
+	select {
+	case frame := <-p.incoming:
+		return p.received(frame)
+	default:
+		return nil, io.EOF
+	}
+}
+
+func (p *pipe) received(frame *wire.Frame) (*wire.Frame, error) {
+	if err := p.check(frame); err != nil {
+		return nil, err
+	}
+	return frame, nil
+}
+
+func (p *pipe) check(frame *wire.Frame) error {
+	if err := checkRequest(frame, p.requestID, p.counters); err != nil {
+		closeQuietly(p)
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/io/peers/probe.go
@@ -0,0 +1,63 @@
+package peers
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/pkg/errors"
+
+	"turmericpulley/core/fleet"
+	"turmericpulley/io/wire"
+)
+
+// errOtherInstance reports that somebody else answered.
+var errOtherInstance = errors.New("another instance, or another incarnation of it, answered")
+
+// probe exchanges a heartbeat with the peer over a fresh connection, which it returns.
+func (n *node) probe(ctx context.Context, peer fleet.Instance) (*yamux.Session, error) {
+	n.counters.Probes.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, fleet.ProbeTimeout)
+	defer cancel()
+	session, err := n.links.fresh(ctx, peer.PeerAddress)
+	if err == nil {
+		if err = n.greet(ctx, session, peer); err == nil {
+			return session, nil
+		}
+		closeQuietly(session)
+	}
+	n.counters.ProbesFailed.Add(1)
+	return nil, err
+}
+
+// greet exchanges one heartbeat over the session.
+func (n *node) greet(ctx context.Context, session *yamux.Session, peer fleet.Instance) error {
+	stream, err := session.OpenStream()
+	if err != nil {
+		return errors.Wrap(err, "opening a stream")
+	}
+	defer closeQuietly(stream)
+	if err := stream.SetDeadline(deadlineOf(ctx, fleet.ProbeTimeout)); err != nil {
+		return errors.Wrap(err, "setting a deadline")
+	}
+	return n.beat(newCodec(stream, n.counters), peer)
+}
+
+// beat exchanges one heartbeat with the peer.
+func (n *node) beat(c *codec, peer fleet.Instance) error {
+	sent := time.Now()
+	reply, err := exchange(c, heartbeatRequest(n.heartbeat()))
+	if err != nil {
+		return err
+	}
+	answer := reply.GetHeartbeat()
+	if !isFrom(answer, peer) {
+		return errOtherInstance
+	}
+	n.answered(peer, sent, answer)
+	return nil
+}
+
+func isFrom(answer *wire.Heartbeat, peer fleet.Instance) bool {
+	return answer.GetSender() == string(peer.ID) && answer.GetIncarnation() == uint64(peer.Incarnation)
+}
--- /dev/null
+++ b/io/peers/proposal.go
@@ -0,0 +1,25 @@
+package peers
+
+import (
+	"time"
+
+	"turmericpulley/core/fleet"
+)
+
+// proposal is a change of the membership that waits to be written.
+type proposal struct {
+	change fleet.Change
+	// due is when to write it.
+	due time.Time
+	// expires is when to give up; zero means when nothing supports it any more.
+	expires time.Time
+	// result receives the outcome once; nil when nobody waits.
+	result chan<- error
+}
+
+// finish tells whoever waits.
+func (p proposal) finish(err error) {
+	if p.result != nil {
+		p.result <- err
+	}
+}
--- /dev/null
+++ b/io/peers/server.go
@@ -0,0 +1,154 @@
+package peers
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"turmericpulley/core/fault"
+	"turmericpulley/core/fleet"
+	"turmericpulley/core/types"
+	"turmericpulley/io/wire"
+)
+
+const (
+	// requestTimeout bounds the wait for the next request on an open stream.
+	requestTimeout = 30 * time.Second
+	// replyTimeout bounds the sending of a reply.
+	replyTimeout = time.Second
+)
+
+// Handler serves a transaction that another instance forwarded; the stream is closed when it returns.
+type Handler func(ctx context.Context, begin *wire.Begin, s Stream)
+
+// server answers the requests of other instances.
+type server struct {
+	node     *node
+	proposer *proposer
+	spreader *spreader
+	handler  atomic.Pointer[Handler]
+	ctx      context.Context
+	cancel   context.CancelFunc
+}
+
+func newServer(n *node, p *proposer, s *spreader) *server {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &server{node: n, proposer: p, spreader: s, ctx: ctx, cancel: cancel}
+}
+
+// serve answers requests on a stream until it ends.
+func (s *server) serve(session *yamux.Session, stream *yamux.Stream) {
+	c := newCodec(stream, s.node.counters)
+	for {
+		if stream.SetReadDeadline(time.Now().Add(requestTimeout)) != nil {
+			return
+		}
+		request := &wire.Request{}
+		if err := c.read(request); err != nil {
+			if f := fault.From(err); f != nil {
+				closeQuietly(session)
+			}
+			return
+		}
+		if begin := request.GetBegin(); begin != nil {
+			s.begin(session, stream, c, begin)
+			return
+		}
+		if stream.SetWriteDeadline(time.Now().Add(proposalLifetime+replyTimeout)) != nil {
+			return
+		}
+		if c.write(s.answer(request)) != nil {
+			return
+		}
+	}
+}
+
+// begin hands a transaction to the handler.
+func (s *server) begin(session *yamux.Session, stream *yamux.Stream, c *codec, begin *wire.Begin) {
+	if stream.SetDeadline(time.Time{}) != nil {
+		return
+	}
+	s.node.counters.StreamsServed.Add(1)
+	id := types.RequestID(begin.GetRequestId())
+	served := &remote{conn: stream, codec: c, requestID: id, abort: func() { closeQuietly(session) }}
+	if handler := s.handler.Load(); handler != nil {
+		(*handler)(s.ctx, begin, served)
+		return
+	}
+	refusal := &wire.Refusal{Kind: string(fault.NoOwner), Detail: "the instance serves no transactions yet"}
+	_ = served.Send(&wire.Frame{RequestId: begin.GetRequestId(), Outcome: &wire.Outcome{Refusal: refusal}})
+}
+
+// answer carries out any request but a Begin.
+func (s *server) answer(request *wire.Request) *wire.Reply {
+	switch kind := request.GetKind().(type) {
+	case *wire.Request_Heartbeat:
+		s.notice(kind.Heartbeat)
+		return &wire.Reply{Kind: &wire.Reply_Heartbeat{Heartbeat: s.node.heartbeat()}}
+	case *wire.Request_Join:
+		return s.change(fleet.Join{Instance: decodeInstance(kind.Join.GetInstance())})
+	case *wire.Request_Leave:
+		id, incarnation := types.InstanceID(kind.Leave.GetInstance()), fleet.Incarnation(kind.Leave.GetIncarnation())
+		return s.change(leaveChange(id, incarnation, kind.Leave.GetFinished()))
+	case *wire.Request_FailureReport:
+		return s.report(kind.FailureReport)
+	case *wire.Request_Fetch:
+		return &wire.Reply{Kind: &wire.Reply_Documents{Documents: s.node.offer(kind.Fetch)}}
+	case *wire.Request_Push:
+		if s.node.take(kind.Push.GetDocuments()) {
+			s.spreader.pass(kind.Push)
+		}
+		return done()
+	case *wire.Request_StatusQuery:
+		return s.status(kind.StatusQuery)
+	default:
+		s.node.counters.ProtocolViolations.Add(1)
+		return refuse(fault.New(fault.ProtocolViolation, "the request is of an unknown kind"))
+	}
+}
+
+// notice fetches from the sender of a heartbeat when it holds newer documents.
+func (s *server) notice(heartbeat *wire.Heartbeat) {
+	if address, found := s.node.address(types.InstanceID(heartbeat.GetSender())); found {
+		s.node.fetchFrom(address, decodeHeartbeat(heartbeat))
+	}
+}
+
+// change writes a change of the membership and answers with the outcome.
+func (s *server) change(change fleet.Change) *wire.Reply {
+	if err := s.proposer.propose(s.ctx, change); err != nil {
+		return refuse(err)
+	}
+	documents := &wire.Documents{}
+	addMembership(documents, s.node.roster.current())
+	return &wire.Reply{Kind: &wire.Reply_Documents{Documents: documents}}
+}
+
+func (s *server) report(report *wire.FailureReport) *wire.Reply {
+	taken := s.proposer.offer(reported{fleet.Report{
+		Reporter:    types.InstanceID(report.GetSender()),
+		Failed:      types.InstanceID(report.GetFailed()),
+		Incarnation: fleet.Incarnation(report.GetIncarnation()),
+	}})
+	if !taken {
+		return refuse(fault.New(fault.NoOwner, "too many changes of the membership are waiting"))
+	}
+	return done()
+}
+
+func (s *server) status(query *wire.StatusQuery) *wire.Reply {
+	inForce := s.node.records.book.InForce(query.GetKey(), types.Revision(query.GetRevision()))
+	return &wire.Reply{Kind: &wire.Reply_Status{Status: &wire.Status{InForce: inForce}}}
+}
+
+func done() *wire.Reply { return &wire.Reply{Kind: &wire.Reply_Done{Done: &wire.Done{}}} }
+
+func refuse(err error) *wire.Reply {
+	refusal := &wire.Refusal{Kind: string(fault.NoOwner), Detail: err.Error()}
+	if f := fault.From(err); f != nil {
+		refusal.Kind, refusal.Detail = string(f.Kind), f.Detail
+	}
+	return &wire.Reply{Kind: &wire.Reply_Refusal{Refusal: refusal}}
+}
--- /dev/null
+++ b/io/peers/tell.go
@@ -0,0 +1,94 @@
+package peers
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"turmericpulley/core/fault"
+	"turmericpulley/core/fleet"
+	"turmericpulley/io/wire"
+)
+
+// tellRounds is the number of times that further proposers are looked for when none answers.
+const tellRounds = 3
+
+// tell reports a failed instance to the proposers; an instance that reaches none of them acts as one itself.
+func (p *proposer) tell(ctx context.Context, failed fleet.Instance) {
+	report := p.ownReport(fleet.Subject{ID: failed.ID, Incarnation: failed.Incarnation})
+	avoided := append(p.watches.suspects(), failed.ID)
+	for range tellRounds {
+		proposers := p.node.roster.current().Proposers(p.node.settings.Region, avoided)
+		if p.tellAll(ctx, proposers, report) {
+			return
+		}
+		for _, other := range proposers {
+			avoided = append(avoided, other.ID)
+		}
+	}
+	p.offer(reported{report})
+}
+
+// tellAll passes the report to the proposers and reports whether any took it.
+func (p *proposer) tellAll(ctx context.Context, proposers []fleet.Instance, report fleet.Report) bool {
+	ctx, cancel := context.WithTimeout(ctx, fleet.ProbeTimeout)
+	defer cancel()
+	taken := atomic.Bool{}
+	telling := sync.WaitGroup{}
+	for _, other := range proposers {
+		telling.Go(func() {
+			if p.tellOne(ctx, other, report) {
+				taken.Store(true)
+			}
+		})
+	}
+	telling.Wait()
+	return taken.Load()
+}
+
+func (p *proposer) tellOne(ctx context.Context, other fleet.Instance, report fleet.Report) bool {
+	if p.isOwn(other.ID) {
+		return p.offer(reported{report})
+	}
+	_, err := p.node.call(ctx, other.PeerAddress, reportRequest(report))
+	return err == nil
+}
+
+func reportRequest(report fleet.Report) *wire.Request {
+	return &wire.Request{Kind: &wire.Request_FailureReport{FailureReport: &wire.FailureReport{
+		Sender: string(report.Reporter), Failed: string(report.Failed), Incarnation: uint64(report.Incarnation),
+	}}}
+}
+
+// ask sends a join or leave to the proposers in the order of their rank until one writes it; the error is that of the
+// last one and nil when a proposer wrote it.
+func (p *proposer) ask(ctx context.Context, change fleet.Change, request *wire.Request) error {
+	self := p.node.roster.own()
+	err := error(fault.New(fault.NoOwner, "no instance could be reached that writes the membership"))
+	suspects := append(p.watches.suspects(), self.ID)
+	others := p.node.roster.current().Proposers(p.node.settings.Region, suspects)
+	if len(others) == 0 {
+		return p.propose(ctx, change)
+	}
+	for _, other := range others {
+		if err = p.askOne(ctx, other.PeerAddress, request); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+// askOne sends a join or leave to one instance and takes the membership that it answers with.
+func (p *proposer) askOne(ctx context.Context, address string, request *wire.Request) error {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	reply, err := p.node.call(ctx, address, request)
+	if err != nil {
+		return err
+	}
+	p.node.take(reply.GetDocuments())
+	return nil
+}
+
+// askTimeout bounds the wait for a proposer to write a change.
+const askTimeout = proposalLifetime + callTimeout
