--- /dev/null
+++ b/cmd/serve.go
@@ -0,0 +1,93 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/hashicorp/go-hclog"
+
+	"turmericpulley/core/types"
+	"turmericpulley/io/server"
+)
+
+// serveCommand runs an instance.
+type serveCommand struct {
+	settings   server.Settings
+	id         string
+	region     string
+	dataCentre string
+	seeds      string
+	links      map[string]string
+	logLevel   string
+	logJSON    bool
+	check      bool
+}
+
+func newServeCommand(app *kingpin.Application, commands map[string]command) {
+	c := &serveCommand{}
+	clause := app.Command("serve", "Run an instance of the proxy.")
+	flag := func(name, help string) *kingpin.FlagClause {
+		return clause.Flag(name, help).Envar(environmentPrefix + strings.ToUpper(strings.ReplaceAll(name, "-", "_")))
+	}
+	flag("id", "Name of the instance, unlike any other's.").StringVar(&c.id)
+	flag("region", "Region of the instance.").StringVar(&c.region)
+	flag("data-centre", "Data centre of the instance.").StringVar(&c.dataCentre)
+	flag("callers-address", "IP number and port for callers.").StringVar(&c.settings.CallersAddress)
+	flag("peers-address", "IP number and port for other instances.").StringVar(&c.settings.PeersAddress)
+	flag("advertise-peers-address", "Address that other instances dial, when it differs.").
+		StringVar(&c.settings.AdvertisedPeersAddress)
+	flag("http-address", "IP number and port for metrics, liveness, readiness and state.").StringVar(&c.settings.HTTPAddress)
+	flag("platform", "Base URL of the platform.").StringVar(&c.settings.Platform)
+	flag("seeds", "Addresses of other instances to ask first, separated by commas.").StringVar(&c.seeds)
+	flag("max-connections", "Most connections of callers; 0 takes the default.").IntVar(&c.settings.MaxConnections)
+	flag("stop-timeout", "Longest that a planned stop waits for requests.").
+		Default(server.DefaultStopTimeout.String()).DurationVar(&c.settings.StopTimeout)
+	flag("link", "REAL=VIA: dial VIA where REAL is meant; for tests.").StringMapVar(&c.links)
+	flag("log-level", "Lowest level of log lines.").Default("info").EnumVar(&c.logLevel, "debug", "info", "warn", "error")
+	flag("log-json", "Write log lines as JSON.").BoolVar(&c.logJSON)
+	clause.Flag("check", "Only check the settings.").BoolVar(&c.check)
+	commands[clause.FullCommand()] = c
+}
+
+func (c *serveCommand) run(out, problems io.Writer) int {
+	c.complete(problems)
+	if err := c.settings.Check(); err != nil {
+		_, _ = fmt.Fprintln(problems, err)
+		return exitUsage
+	}
+	if c.check {
+		_, _ = fmt.Fprintln(out, "the settings can be used")
+		return exitOK
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	s, err := server.New(c.settings)
+	if err != nil {
+		_, _ = fmt.Fprintln(problems, err)
+		return exitFailed
+	}
+	<-ctx.Done()
+	s.Stop(context.Background())
+	return exitOK
+}
+
+func (c *serveCommand) complete(problems io.Writer) {
+	c.settings.ID = types.InstanceID(c.id)
+	c.settings.Region = types.Region(c.region)
+	c.settings.DataCentre = types.DataCentre(c.dataCentre)
+	c.settings.Links = c.links
+	if c.seeds != "" {
+		c.settings.Seeds = strings.Split(c.seeds, ",")
+	}
+	c.settings.Logger = hclog.New(&hclog.LoggerOptions{
+		Name:       "turmericpulley",
+		Level:      hclog.LevelFromString(c.logLevel),
+		Output:     problems,
+		JSONFormat: c.logJSON,
+	}).With("instance", c.id)
+}
--- a/io/owner/block.go
+++ b/io/owner/block.go
@@ -57,7 +57,7 @@
 	*a = answer{}
 	if err := t.primaryBatch(ctx, g, payload, ended, a); err != nil {
 		g.release(false)
-		return true, t.primaryFailed(ctx, g, err)
+		return true, t.primaryFailed(ctx, err)
 	}
 	if a.status != pgcli.StatusIdle {
 		return false, nil
--- a/io/owner/control.go
+++ b/io/owner/control.go
@@ -43,6 +43,10 @@
 	return c.call(fmt.Sprintf("SELECT * FROM pulley_claim(%d)", epoch), controlTimeout)
 }
 
+func (c *control) status() (quorum.Observation, error) {
+	return c.call("SELECT * FROM pulley_status()", controlTimeout)
+}
+
 func (c *control) watch(after types.Position) (quorum.Observation, error) {
 	sql := fmt.Sprintf("SELECT * FROM pulley_watch(%d, %d)", after, watchPeriod.Milliseconds())
 	return c.call(sql, watchPeriod+watchGrace)
--- a/io/owner/keyed.go
+++ b/io/owner/keyed.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 
 	"turmericpulley/core/fault"
+	"turmericpulley/core/trace"
 	"turmericpulley/io/pgcli"
 )
 
@@ -33,7 +34,7 @@
 	}
 	if err != nil {
 		g.release(false)
-		return t.primaryFailed(ctx, g, err)
+		return t.primaryFailed(ctx, err)
 	}
 	if repeated {
 		return t.answerRepeat(ctx, g, key, payload)
@@ -41,7 +42,7 @@
 	var a answer
 	if err := t.primaryBatch(ctx, g, payload, true, &a); err != nil {
 		g.release(false)
-		return t.primaryFailed(ctx, g, err)
+		return t.primaryFailed(ctx, err)
 	}
 	if a.status != pgcli.StatusInTransaction || a.failed {
 		return t.rollBackKeyed(ctx, g, &a)
@@ -56,7 +57,7 @@
 func (t *transaction) keyedBlock(ctx context.Context, g grant, key string, a *answer) error {
 	if err := t.statement(ctx, g, updateRecord(key, tagCommit)); err != nil {
 		g.release(false)
-		return t.primaryFailed(ctx, g, err)
+		return t.primaryFailed(ctx, err)
 	}
 	return t.continueBlock(ctx, g.conn, g.pool, g.target, false, a)
 }
@@ -106,7 +107,7 @@
 func (t *transaction) rollBackKeyed(ctx context.Context, g grant, a *answer) error {
 	if err := t.statement(ctx, g, "ROLLBACK"); err != nil {
 		g.release(false)
-		return t.primaryFailed(ctx, g, err)
+		return t.primaryFailed(ctx, err)
 	}
 	setStatus(a.held, pgcli.StatusIdle)
 	return t.confirm(ctx, g, a)
@@ -115,11 +116,11 @@
 func (t *transaction) commitKeyed(ctx context.Context, g grant, key string, a *answer) error {
 	if err := t.statement(ctx, g, updateRecord(key, a.tag)); err != nil {
 		g.release(false)
-		return t.primaryFailed(ctx, g, err)
+		return t.primaryFailed(ctx, err)
 	}
 	if err := t.statement(ctx, g, "COMMIT"); err != nil {
 		g.release(false)
-		return t.primaryFailed(ctx, g, err)
+		return t.primaryFailed(ctx, err)
 	}
 	setStatus(a.held, pgcli.StatusIdle)
 	return t.confirm(ctx, g, a)
@@ -137,7 +138,7 @@
 		g.release(true)
 		return fault.New(fault.AlreadyRun, "the transaction block with this request key was committed before")
 	}
-	t.trail("answered from the record of the request key", g.target, g.term)
+	t.note(trace.Event{What: trace.Answered, Target: g.target, Term: g.term, Detail: "from the record of the request key"})
 	a := answer{held: recordedAnswer(payload, row["value"])}
 	return t.confirm(ctx, g, &a)
 }
--- a/io/owner/monitor.go
+++ b/io/owner/monitor.go
@@ -22,7 +22,7 @@
 	for ctx.Err() == nil {
 		watched, err := o.watchOnce(ctx, m, &claimedBefore)
 		if o.refusedForEpoch(err) {
-			o.state.lose(0)
+			o.state.lose(o.newerEpoch(ctx, m))
 			return
 		}
 		if watched {
@@ -86,6 +86,22 @@
 	return state == stateObjectNotInState || state == stateCannotConnectNow
 }
 
+// newerEpoch asks a member that refuses this owner whose epoch it obeys; zero when it does not say.
+func (o *Owner) newerEpoch(ctx context.Context, m *member) types.Epoch {
+	s := o.settings
+	s.Epoch = 0
+	c, err := dialControl(ctx, s, m.info)
+	if err != nil {
+		return 0
+	}
+	defer c.close()
+	observed, err := c.status()
+	if err != nil {
+		return 0
+	}
+	return observed.Epoch
+}
+
 // wait pauses and reports whether the context is still alive.
 func wait(ctx context.Context, pause time.Duration) bool {
 	timer := time.NewTimer(pause)
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -68,8 +68,9 @@
 	return o.state.currentPhase() == lost, o.state.supersededBy()
 }
 
-// Release lets the transactions in flight finish, then gives up the members; new ones are refused at once.
-func (o *Owner) Release(ctx context.Context) {
+// Release lets the transactions in flight finish, then gives up the members; new ones are refused at once. It returns
+// true when all finished and the lease held to the end.
+func (o *Owner) Release(ctx context.Context) bool {
 	o.mu.Lock()
 	if !o.draining {
 		o.draining = true
@@ -78,11 +79,15 @@
 		}
 	}
 	o.mu.Unlock()
+	finished := true
 	select {
 	case <-o.idle:
 	case <-ctx.Done():
+		finished = false
 	}
+	leased := o.state.leaseHolds()
 	o.Close()
+	return finished && leased
 }
 
 // Close ends all connections to the members at once and waits for the owner's goroutines.
--- a/io/owner/primary.go
+++ b/io/owner/primary.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"turmericpulley/core/fault"
+	"turmericpulley/core/trace"
 	"turmericpulley/core/types"
 	"turmericpulley/io/pgcli"
 )
@@ -33,14 +34,15 @@
 			return err
 		}
 		t.attempts++
+		t.note(trace.Event{What: trace.Sent, Target: g.target, Term: g.term})
 		var a answer
 		if err := t.primaryBatch(ctx, g, payload, ended, &a); err != nil {
 			g.release(false)
-			return t.primaryFailed(ctx, g, err)
+			return t.primaryFailed(ctx, err)
 		}
 		if a.refusedWrite && a.status == pgcli.StatusIdle && !t.relayed && !t.begin.GetReadOnly() {
 			g.release(true)
-			t.trail("the primary was replaced and refused the write", g.target, g.term)
+			t.note(trace.Event{What: trace.Retried, Target: g.target, Term: g.term, Detail: "the primary was replaced and refused"})
 			if !wait(ctx, primaryRetryPause) {
 				return fault.New(fault.NoPrimary, "the database has no primary")
 			}
@@ -161,12 +163,11 @@
 		return fault.New(fault.OutcomeUnknown, "the owner could not confirm that it still owns the database")
 	}
 	t.owner.floors.Note(t.session, position)
-	t.trail("answered by the primary", g.target, g.term)
+	t.note(trace.Event{What: trace.Confirmed, Target: g.target, Term: g.term, Position: position})
 	return t.finish(a.take(), g.target, false, g.term, position)
 }
 
-func (t *transaction) primaryFailed(ctx context.Context, g grant, err error) error {
-	t.trail("the primary did not answer", g.target, g.term)
+func (t *transaction) primaryFailed(ctx context.Context, err error) error {
 	switch {
 	case errors.Is(err, errCallerGone):
 		return err
--- a/io/owner/replica.go
+++ b/io/owner/replica.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"turmericpulley/core/fault"
+	"turmericpulley/core/trace"
 	"turmericpulley/core/types"
 	"turmericpulley/io/pgcli"
 )
@@ -67,6 +68,7 @@
 		}
 		return tryAnother, nil
 	}
+	t.note(trace.Event{What: trace.Sent, Target: r.target, Replica: true})
 	var a answer
 	err = t.exchange(ctx, c, payload, func() error { return t.readReplica(c, &a) })
 	switch {
@@ -76,7 +78,7 @@
 	case a.refusedWrite && !t.relayed:
 		p.put(c, a.status == pgcli.StatusIdle)
 		t.owner.settings.Writes.Learn(t.begin.GetStatementHash())
-		t.trail("a replica refused a write", r.target, 0)
+		t.note(trace.Event{What: trace.Retried, Target: r.target, Replica: true, Detail: "the replica refused a write"})
 		return tryPrimary, nil
 	case a.status != pgcli.StatusIdle && t.begin.GetReadOnly():
 		return answered, t.continueBlock(ctx, c, p, r.target, true, &a)
@@ -99,12 +101,12 @@
 	}
 	t.owner.floors.Note(t.session, position)
 	_, term := t.owner.state.primaryAndTerm()
-	t.trail("answered by a replica", r.target, term)
+	t.note(trace.Event{What: trace.Answered, Target: r.target, Replica: true, Term: term, Position: position})
 	return answered, t.finish(a.take(), r.target, true, term, position)
 }
 
 func (t *transaction) replicaFailed(ctx context.Context, r replica) (attempt, error) {
-	t.trail("a replica did not answer", r.target, 0)
+	t.note(trace.Event{What: trace.Retried, Target: r.target, Replica: true, Detail: "the replica did not answer"})
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		return answered, errCallerGone
--- a/io/owner/settings.go
+++ b/io/owner/settings.go
@@ -7,6 +7,7 @@
 
 	"turmericpulley/core/class"
 	"turmericpulley/core/policy"
+	"turmericpulley/core/trace"
 	"turmericpulley/core/types"
 )
 
@@ -21,9 +22,9 @@
 	Resolve  func(address string) string
 	Writes   *class.Writes
 	Counters *Counters
-	// Trail records what happens to a request; nil records nothing.
-	Trail  func(id types.RequestID, what string, target types.TargetID, term types.Term)
-	Logger hclog.Logger
+	// Recorder keeps what happened to each request.
+	Recorder *trace.Recorder
+	Logger   hclog.Logger
 }
 
 const (
--- a/io/owner/transaction.go
+++ b/io/owner/transaction.go
@@ -12,6 +12,7 @@
 	"turmericpulley/core/fault"
 	"turmericpulley/core/policy"
 	"turmericpulley/core/reads"
+	"turmericpulley/core/trace"
 	"turmericpulley/core/types"
 	"turmericpulley/io/pgcli"
 	"turmericpulley/io/wire"
@@ -59,6 +60,7 @@
 		return
 	}
 	defer o.end()
+	o.settings.Recorder.Begin(types.RequestID(begin.GetRequestId()), t.session.Customer, o.Database(), t.session.Name)
 	go t.receive(ctx, cancel)
 	if err := t.run(ctx); err != nil {
 		t.finishWithError(err)
@@ -151,15 +153,13 @@
 	return age
 }
 
-func (t *transaction) trail(what string, target types.TargetID, term types.Term) {
-	if t.owner.settings.Trail != nil {
-		t.owner.settings.Trail(types.RequestID(t.begin.GetRequestId()), what, target, term)
-	}
+func (t *transaction) note(event trace.Event) {
+	t.owner.settings.Recorder.Add(types.RequestID(t.begin.GetRequestId()), event)
 }
 
 func (t *transaction) finishWithError(err error) {
 	if errors.Is(err, errCallerGone) {
-		t.trail("the caller went away", "", 0)
+		t.note(trace.Event{What: trace.Cancelled, Detail: "the caller went away"})
 		return
 	}
 	f := fault.From(err)
@@ -170,12 +170,14 @@
 }
 
 func (t *transaction) refuse(f *fault.Fault) {
+	step := trace.Refused
 	if f.Outcome == fault.Unknown {
+		step = trace.Lost
 		t.owner.settings.Counters.Unknown.Add(1)
 	} else {
 		t.owner.settings.Counters.Refusals.Add(1)
 	}
-	t.trail(f.Error(), "", 0)
+	t.note(trace.Event{What: step, Kind: f.Kind, Detail: f.Detail})
 	_ = t.stream.Send(&wire.Frame{
 		RequestId: t.begin.GetRequestId(),
 		Outcome: &wire.Outcome{
--- a/io/pgcli/dial.go
+++ b/io/pgcli/dial.go
@@ -44,11 +44,10 @@
 func (c *Conn) start(s Settings) error {
 	startup := pgproto3.StartupMessage{
 		ProtocolVersion: protocolVersionThree,
-		Parameters: map[string]string{
-			"user":         userName,
-			"database":     string(s.Database),
-			epochParameter: strconv.FormatUint(uint64(s.Epoch), 10),
-		},
+		Parameters:      map[string]string{"user": userName, "database": string(s.Database)},
+	}
+	if s.Epoch != 0 {
+		startup.Parameters[epochParameter] = s.Epoch.String()
 	}
 	payload, err := startup.Encode(nil)
 	if err != nil {
--- a/io/pgcli/settings.go
+++ b/io/pgcli/settings.go
@@ -10,7 +10,8 @@
 type Settings struct {
 	Address  string
 	Database types.DatabaseID
-	Epoch    types.Epoch
+	// Epoch is that of the owner who connects; zero connects as a plain caller.
+	Epoch types.Epoch
 	// Timeout bounds connecting and starting up.
 	Timeout time.Duration
 }
--- /dev/null
+++ b/io/server/fleet_test.go
@@ -0,0 +1,125 @@
+package server_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jackc/pgx/v5"
+	"github.com/stretchr/testify/require"
+
+	"turmericpulley/core/policy"
+	"turmericpulley/core/types"
+	"turmericpulley/io/fakedb"
+	"turmericpulley/io/fakekv"
+	"turmericpulley/io/server"
+)
+
+// fleet is a platform, one database and instances in one process.
+type fleet struct {
+	platform *fakekv.Platform
+	members  []*fakedb.Member
+	servers  []*server.Server
+}
+
+const (
+	testCustomer = "sencnik"
+	testDatabase = "orders-0"
+)
+
+func startFleet(t *testing.T, instances int, change func(*fakedb.Settings)) *fleet {
+	t.Helper()
+	f := &fleet{}
+	group := policy.Group{Group: "orders-db", Slots: 2, Connections: 15}
+	database := policy.Database{Database: testDatabase}
+	for i := range 3 {
+		settings := fakedb.Defaults()
+		settings.ID = types.TargetID(fmt.Sprintf("%s-%d", testDatabase, i))
+		settings.Slots, settings.Connections, settings.Members = 2, 15, 3
+		if i > 0 {
+			settings.Role = fakedb.Replica
+			settings.Primary = f.members[0].Address()
+		}
+		if change != nil {
+			change(&settings)
+		}
+		m, err := fakedb.Start(settings)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = m.Close() })
+		f.members = append(f.members, m)
+		database.Members = append(database.Members, policy.Member{
+			Target: settings.ID, Address: m.Address(), DataCentre: types.DataCentre(fmt.Sprintf("slo-%c", 'a'+i)),
+		})
+	}
+	group.Databases = []policy.Database{database}
+	contract := policy.Contract{
+		Customer: testCustomer, Groups: []types.GroupID{"orders-db"}, Connections: 6, MaxReadAge: policy.Duration(2 * time.Second),
+	}
+	platform, err := fakekv.Start(fakekv.Settings{Address: "127.0.0.1:0", Seed: map[string]string{
+		"groups/orders-db": encode(t, group), "contracts/" + testCustomer: encode(t, contract),
+	}})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = platform.Close() })
+	f.platform = platform
+	f.startServers(t, instances)
+	return f
+}
+
+func (f *fleet) startServers(t *testing.T, instances int) {
+	t.Helper()
+	var seeds []string
+	for range instances {
+		seeds = append(seeds, freeAddress(t))
+	}
+	for i := range instances {
+		s, err := server.New(server.Settings{
+			ID:             types.InstanceID(fmt.Sprintf("i%d", i)),
+			Region:         "slo-central",
+			DataCentre:     types.DataCentre(fmt.Sprintf("slo-%c", 'a'+i%3)),
+			CallersAddress: "127.0.0.1:0",
+			PeersAddress:   seeds[i],
+			HTTPAddress:    "127.0.0.1:0",
+			Platform:       f.platform.URL(),
+			Seeds:          seeds,
+			Logger:         hclog.New(&hclog.LoggerOptions{Level: hclog.Info, Output: t.Output(), Name: fmt.Sprintf("i%d", i)}),
+		})
+		require.NoError(t, err)
+		t.Cleanup(s.Close)
+		f.servers = append(f.servers, s)
+	}
+}
+
+// connect opens a caller's connection at an instance once it takes callers.
+func (f *fleet) connect(t *testing.T, instance int, session string) *pgx.Conn {
+	t.Helper()
+	config, err := pgx.ParseConfig(fmt.Sprintf("postgres://%s@%s/%s?sslmode=disable",
+		testCustomer, f.servers[instance].CallersAddress(), testDatabase))
+	require.NoError(t, err)
+	config.RuntimeParams["pulley.session"] = session
+	var conn *pgx.Conn
+	require.EventuallyWithT(t, func(c *assertT) {
+		conn, err = pgx.ConnectConfig(context.Background(), config)
+		require.NoError(c, err)
+	}, 5*time.Second, 20*time.Millisecond)
+	t.Cleanup(func() { _ = conn.Close(context.Background()) })
+	return conn
+}
+
+func encode(t *testing.T, document any) string {
+	t.Helper()
+	text, err := json.Marshal(document)
+	require.NoError(t, err)
+	return string(text)
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
--- /dev/null
+++ b/io/server/network.go
@@ -0,0 +1,22 @@
+package server
+
+import (
+	"context"
+
+	"turmericpulley/core/fleet"
+	"turmericpulley/core/relay"
+	"turmericpulley/core/types"
+	"turmericpulley/io/peers"
+	"turmericpulley/io/wire"
+)
+
+// network is what owners and router need of the other instances.
+type network interface {
+	Open(ctx context.Context, id types.InstanceID, begin *wire.Begin) (peers.Stream, error)
+	Self() fleet.Instance
+	Membership() fleet.Membership
+	Suspected(id types.InstanceID) bool
+	Probe(ctx context.Context, id types.InstanceID) bool
+	Book() *relay.Book
+	Fresh() error
+}
--- /dev/null
+++ b/io/server/owners.go
@@ -0,0 +1,222 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"turmericpulley/core/class"
+	"turmericpulley/core/fault"
+	"turmericpulley/core/policy"
+	"turmericpulley/core/trace"
+	"turmericpulley/core/types"
+	"turmericpulley/io/owner"
+	"turmericpulley/io/wire"
+)
+
+const (
+	// releaseTimeout bounds how long a database's transactions may delay its handover.
+	releaseTimeout = 5 * time.Second
+	// reconcilePeriod bounds how late an unnoticed change is noticed.
+	reconcilePeriod = time.Second
+)
+
+// owners holds the databases that this instance owns; it is safe for concurrent use.
+type owners struct {
+	self     types.InstanceID
+	network  network
+	entitler *entitler
+	writes   *class.Writes
+	counters *owner.Counters
+	recorder *trace.Recorder
+	resolve  func(string) string
+	logger   hclog.Logger
+
+	stop   context.CancelFunc
+	duties sync.WaitGroup
+
+	mu       sync.Mutex
+	held     map[types.DatabaseID]*holding
+	stopping bool
+}
+
+// ownersSettings is what owners need from the instance.
+type ownersSettings struct {
+	self     types.InstanceID
+	network  network
+	counters *owner.Counters
+	recorder *trace.Recorder
+	resolve  func(string) string
+	logger   hclog.Logger
+	changes  <-chan struct{}
+}
+
+func newOwners(s ownersSettings) *owners {
+	ctx, stop := context.WithCancel(context.Background())
+	m := &owners{
+		self:     s.self,
+		network:  s.network,
+		entitler: newEntitler(s.network),
+		writes:   class.NewWrites(),
+		counters: s.counters,
+		recorder: s.recorder,
+		resolve:  s.resolve,
+		logger:   s.logger,
+		stop:     stop,
+		held:     map[types.DatabaseID]*holding{},
+	}
+	m.duties.Go(func() { m.reconcileOnChange(ctx, s.changes) })
+	return m
+}
+
+// serve runs a transaction, or refuses it when another instance should.
+func (m *owners) serve(ctx context.Context, begin *wire.Begin, s owner.Stream) {
+	if begin.GetRelease() {
+		m.answerRelease(ctx, begin, s)
+		return
+	}
+	contract, o, redirect, err := m.admit(ctx, begin)
+	if err != nil {
+		refuse(s, begin, fault.From(err), redirect)
+		return
+	}
+	o.Serve(ctx, begin, contract, s)
+}
+
+// admit checks a transaction against the documents and returns the owner that runs it.
+func (m *owners) admit(ctx context.Context, begin *wire.Begin) (policy.Contract, *owner.Owner, types.InstanceID, error) {
+	if err := m.network.Fresh(); err != nil {
+		return policy.Contract{}, nil, "", err
+	}
+	book := m.network.Book()
+	customer := types.CustomerID(begin.GetCustomer())
+	contract, _, ok := book.Contract(customer)
+	if !ok {
+		return policy.Contract{}, nil, "", fault.New(fault.UnknownCustomer, "customer "+string(customer)+" has no contract")
+	}
+	group, database, ok := book.Database(types.DatabaseID(begin.GetDatabase()))
+	if !ok {
+		return policy.Contract{}, nil, "", fault.New(fault.UnknownDatabase, "no group holds database "+begin.GetDatabase())
+	}
+	if !contract.Reaches(group.Group) {
+		return policy.Contract{}, nil, "", fault.New(fault.GroupForbidden, "the contract does not reach group "+string(group.Group))
+	}
+	o, redirect := m.find(ctx, group, database)
+	if o == nil {
+		return policy.Contract{}, nil, redirect, fault.New(fault.NoOwner, "instance "+string(m.self)+" does not own the database")
+	}
+	return contract.WithDefaults(), o, "", nil
+}
+
+// find returns the owner of the database, taking it over when this instance should own it.
+func (m *owners) find(ctx context.Context, group policy.Group, database policy.Database) (*owner.Owner, types.InstanceID) {
+	if h := m.holding(database.Database); h != nil {
+		return h.await(ctx), ""
+	}
+	x := m.entitler.decide(database)
+	if x.expected != m.self {
+		x = m.entitler.decideByProbe(ctx, database)
+	}
+	if x.expected != m.self {
+		return nil, x.expected
+	}
+	if h := m.take(group, database, x); h != nil {
+		return h.await(ctx), ""
+	}
+	return nil, ""
+}
+
+// await returns the owner once it is set, or nil when the context ends first.
+func (h *holding) await(ctx context.Context) *owner.Owner {
+	select {
+	case <-h.ready:
+		return h.owner
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// holding returns what is held of the database; a holding that was lost is forgotten.
+func (m *owners) holding(database types.DatabaseID) *holding {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h, ok := m.held[database]
+	if !ok {
+		return nil
+	}
+	select {
+	case <-h.ready:
+	default:
+		return h
+	}
+	if isLost, epoch := h.owner.Lost(); isLost {
+		delete(m.held, database)
+		if epoch > h.owner.Epoch() {
+			m.entitler.lostTo(database, epoch)
+		}
+		m.duties.Go(h.owner.Close)
+		return nil
+	}
+	return h
+}
+
+// take starts to own a database.
+func (m *owners) take(group policy.Group, database policy.Database, x entitlement) *holding {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stopping {
+		return nil
+	}
+	if h, ok := m.held[database.Database]; ok {
+		return h
+	}
+	h := &holding{ready: make(chan struct{})}
+	m.held[database.Database] = h
+	m.duties.Go(func() {
+		handedOver := m.askRelease(database)
+		h.owner = owner.New(owner.Settings{
+			Group:      group,
+			Database:   database,
+			Epoch:      m.entitler.epochFor(database.Database, x),
+			HandedOver: handedOver,
+			Resolve:    m.resolve,
+			Writes:     m.writes,
+			Counters:   m.counters,
+			Recorder:   m.recorder,
+			Logger:     m.logger,
+		})
+		m.logger.Info("database taken", "database", database.Database, "epoch", h.owner.Epoch(), "handedOver", handedOver)
+		close(h.ready)
+	})
+	return h
+}
+
+// close gives up all databases at once.
+func (m *owners) close() {
+	m.mu.Lock()
+	m.stopping = true
+	held := m.held
+	m.held = map[types.DatabaseID]*holding{}
+	m.mu.Unlock()
+	m.stop()
+	for _, h := range held {
+		<-h.ready
+		h.owner.Close()
+	}
+	m.duties.Wait()
+}
+
+// refuse answers a transaction with an error.
+func refuse(s owner.Stream, begin *wire.Begin, f *fault.Fault, redirect types.InstanceID) {
+	if f == nil {
+		f = fault.New(fault.NoOwner, "the database has no owner")
+	}
+	_ = s.Send(&wire.Frame{
+		RequestId: begin.GetRequestId(),
+		Outcome: &wire.Outcome{Refusal: &wire.Refusal{
+			Kind: string(f.Kind), Detail: f.Detail, Redirect: string(redirect), Unknown: f.Outcome == fault.Unknown,
+		}},
+	})
+}
--- /dev/null
+++ b/io/server/reconcile.go
@@ -0,0 +1,54 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"turmericpulley/core/quorum"
+	"turmericpulley/core/types"
+)
+
+// reconcileOnChange takes and releases databases whenever the instances or the documents change.
+func (m *owners) reconcileOnChange(ctx context.Context, changes <-chan struct{}) {
+	ticker := time.NewTicker(reconcilePeriod)
+	defer ticker.Stop()
+	for {
+		m.reconcile(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-changes:
+		case <-ticker.C:
+		}
+	}
+}
+
+func (m *owners) reconcile(ctx context.Context) {
+	book := m.network.Book()
+	for _, id := range book.Databases() {
+		group, database, ok := book.Database(id)
+		if !ok {
+			continue
+		}
+		x := m.entitler.decide(database)
+		h := m.holding(id)
+		switch {
+		case h == nil && x.expected == m.self:
+			m.take(group, database, x)
+		case h != nil && x.expected != m.self && m.outdated(h, x):
+			m.duties.Go(func() { m.release(ctx, id) })
+		}
+	}
+}
+
+// outdated reports whether a database is held under an older membership than the present one.
+func (m *owners) outdated(h *holding, x entitlement) bool {
+	select {
+	case <-h.ready:
+		return x.expected != "" && ownedUnder(h) < x.revision
+	default:
+		return false
+	}
+}
+
+func ownedUnder(h *holding) types.Revision { return quorum.EpochRevision(h.owner.Epoch()) }
--- /dev/null
+++ b/io/server/report.go
@@ -0,0 +1,100 @@
+package server
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"turmericpulley/core/fleet"
+	"turmericpulley/core/trace"
+	"turmericpulley/core/types"
+	"turmericpulley/io/owner"
+	"turmericpulley/io/pgsrv"
+)
+
+// Report is what an instance believes, for operators.
+type Report struct {
+	Instance           types.InstanceID   `json:"instance"`
+	DataCentre         types.DataCentre   `json:"dataCentre"`
+	Ready              bool               `json:"ready"`
+	NotReadyBecause    string             `json:"notReadyBecause,omitempty"`
+	MembershipRevision types.Revision     `json:"membershipRevision"`
+	DocumentRevision   types.Revision     `json:"documentRevision"`
+	Instances          []InstanceReport   `json:"instances"`
+	Databases          []owner.Report     `json:"databases"`
+	ReplicaReads       int64              `json:"replicaReads"`
+	Primary            int64              `json:"primaryTransactions"`
+	Known              []types.DatabaseID `json:"knownDatabases"`
+}
+
+// InstanceReport is one instance as another sees it.
+type InstanceReport struct {
+	fleet.Instance
+	Suspected bool `json:"suspected"`
+}
+
+func (v *Server) report() Report {
+	members := v.peers.Membership()
+	r := Report{
+		Instance:           v.settings.ID,
+		DataCentre:         v.settings.DataCentre,
+		MembershipRevision: members.Revision,
+		DocumentRevision:   v.peers.Book().Revision(),
+		Databases:          v.owners.reports(),
+		ReplicaReads:       v.counters.ReplicaReads.Load(),
+		Primary:            v.counters.PrimaryTransactions.Load(),
+		Known:              v.peers.Book().Databases(),
+	}
+	if err := v.ready(); err != nil {
+		r.NotReadyBecause = err.Error()
+	} else {
+		r.Ready = true
+	}
+	for _, i := range members.Instances {
+		r.Instances = append(r.Instances, InstanceReport{Instance: i, Suspected: v.peers.Suspected(i.ID)})
+	}
+	return r
+}
+
+func (m *owners) reports() []owner.Report {
+	m.mu.Lock()
+	held := make([]*holding, 0, len(m.held))
+	for _, h := range m.held {
+		held = append(held, h)
+	}
+	m.mu.Unlock()
+	reports := make([]owner.Report, 0, len(held))
+	for _, h := range held {
+		select {
+		case <-h.ready:
+			reports = append(reports, h.owner.Report())
+		default:
+		}
+	}
+	slices.SortFunc(reports, func(a, b owner.Report) int { return strings.Compare(string(a.Database), string(b.Database)) })
+	return reports
+}
+
+// findRequest returns the trail of a request by its printed id.
+func (v *Server) findRequest(text string) (any, bool) {
+	id, err := trace.ParseID(text)
+	if err != nil {
+		return nil, false
+	}
+	return v.recorder.Find(types.RequestID(id))
+}
+
+func (v *Server) contractStatus(ctx context.Context, customer types.CustomerID, revision types.Revision) (any, error) {
+	return v.peers.DocumentStatus(ctx, "contracts/"+string(customer), revision), nil
+}
+
+// observe records a finished transaction of a caller.
+func (v *Server) observe(t pgsrv.Transaction) {
+	v.recorder.Begin(t.RequestID, t.Customer, t.Database, t.Session)
+	event := trace.Event{What: trace.Done, Target: t.Target, Replica: t.Replica}
+	if t.Fault != nil {
+		event = trace.Event{What: trace.Refused, Kind: t.Fault.Kind, Detail: t.Fault.Detail}
+	}
+	v.recorder.Add(t.RequestID, event)
+	v.measure(t)
+}
--- /dev/null
+++ b/io/server/router.go
@@ -0,0 +1,106 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"turmericpulley/core/fault"
+	"turmericpulley/core/fleet"
+	"turmericpulley/core/types"
+	"turmericpulley/io/peers"
+	"turmericpulley/io/pgsrv"
+	"turmericpulley/io/wire"
+)
+
+const (
+	// routeTimeout bounds how long a transaction looks for an owner.
+	routeTimeout  = 4 * time.Second
+	routePauseMin = 10 * time.Millisecond
+	routePauseMax = 100 * time.Millisecond
+)
+
+// router opens streams to the owners of databases; it is safe for concurrent use.
+type router struct {
+	self    types.InstanceID
+	network network
+	local   func(ctx context.Context, begin *wire.Begin) (peers.Stream, error)
+
+	mu    sync.Mutex
+	hints map[types.DatabaseID]hint
+}
+
+// hint is the instance that answered last for a database under a membership.
+type hint struct {
+	owner    types.InstanceID
+	revision types.Revision
+}
+
+func newRouter(self types.InstanceID, n network, local func(context.Context, *wire.Begin) (peers.Stream, error)) *router {
+	return &router{self: self, network: n, local: local, hints: map[types.DatabaseID]hint{}}
+}
+
+// Open starts a transaction at the owner of its database; when it fails nothing has run.
+func (r *router) Open(ctx context.Context, begin *wire.Begin) (pgsrv.Stream, error) {
+	s := &routed{router: r, ctx: ctx, begin: begin, until: time.Now().Add(routeTimeout), pause: routePauseMin}
+	if err := s.connect(""); err != nil {
+		return nil, err
+	}
+	s.ctx = context.WithoutCancel(ctx)
+	return s, nil
+}
+
+// open opens a stream at one instance.
+func (r *router) open(ctx context.Context, id types.InstanceID, begin *wire.Begin) (peers.Stream, error) {
+	if id == r.self {
+		return r.local(ctx, begin)
+	}
+	return r.network.Open(ctx, id, begin)
+}
+
+// candidates returns the instances that may own the database, the likeliest first.
+func (r *router) candidates(database types.DatabaseID) []types.InstanceID {
+	_, d, ok := r.network.Book().Database(database)
+	if !ok {
+		return nil
+	}
+	members := r.network.Membership()
+	var trusted, suspected []types.InstanceID
+	if h, ok := r.hint(database); ok && h.revision == members.Revision && fleet.Holds(members.Instances, h.owner) {
+		trusted = append(trusted, h.owner)
+	}
+	for _, i := range members.Ranked(d) {
+		if r.network.Suspected(i.ID) {
+			suspected = append(suspected, i.ID)
+		} else {
+			trusted = append(trusted, i.ID)
+		}
+	}
+	return append(trusted, suspected...)
+}
+
+func (r *router) hint(database types.DatabaseID) (hint, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h, ok := r.hints[database]
+	return h, ok
+}
+
+func (r *router) remember(database types.DatabaseID, id types.InstanceID) {
+	revision := r.network.Membership().Revision
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hints[database] = hint{owner: id, revision: revision}
+}
+
+func (r *router) forget(database types.DatabaseID, id types.InstanceID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.hints[database].owner == id {
+		delete(r.hints, database)
+	}
+}
+
+func errNoOwnerInTime() error {
+	return fault.New(fault.NoOwner, "no instance that owns the database could be reached in time")
+}
--- /dev/null
+++ b/io/server/server.go
@@ -0,0 +1,220 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"turmericpulley/core/fault"
+	"turmericpulley/core/fleet"
+	"turmericpulley/core/trace"
+	"turmericpulley/core/types"
+	"turmericpulley/io/httpd"
+	"turmericpulley/io/meter"
+	"turmericpulley/io/owner"
+	"turmericpulley/io/peers"
+	"turmericpulley/io/pgsrv"
+	"turmericpulley/io/store"
+	"turmericpulley/io/wire"
+)
+
+// leaveTimeout bounds how long a stop waits for the membership to say that the instance leaves.
+const leaveTimeout = 2 * time.Second
+
+// Server is a running instance.
+type Server struct {
+	settings Settings
+	logger   hclog.Logger
+	store    *store.Client
+	peers    *peers.Service
+	callers  *pgsrv.Server
+	http     *httpd.Server
+	meter    *meter.Meter
+	owners   *owners
+	counters owner.Counters
+	recorder *trace.Recorder
+	stopping atomic.Bool
+
+	running context.Context
+	cancel  context.CancelFunc
+	locals  sync.WaitGroup
+	once    sync.Once
+}
+
+// New starts an instance; it becomes ready once it holds the documents and the membership.
+func New(s Settings) (*Server, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	s = s.withDefaults()
+	running, cancel := context.WithCancel(context.Background())
+	v := &Server{
+		settings: s,
+		logger:   s.Logger,
+		recorder: trace.New(s.ID, trace.DefaultCapacity),
+		running:  running,
+		cancel:   cancel,
+	}
+	for _, start := range []func() error{v.startMeter, v.startPeers, v.startOwners, v.startCallers, v.startHTTP} {
+		if err := start(); err != nil {
+			v.Close()
+			return nil, errors.Wrapf(err, "starting instance %s", s.ID)
+		}
+	}
+	return v, nil
+}
+
+// CallersAddress returns the address that callers connect to.
+func (v *Server) CallersAddress() string { return v.callers.Address().String() }
+
+// HTTPAddress returns the address for operators.
+func (v *Server) HTTPAddress() string { return v.http.Address() }
+
+func (v *Server) startMeter() error {
+	m, err := meter.New()
+	if err != nil {
+		return err
+	}
+	v.meter = m
+	return v.registerCounters()
+}
+
+func (v *Server) startPeers() error {
+	platform := v.settings.link(v.settings.Platform)
+	client, err := store.New(store.Settings{Platform: platform, Logger: v.logger.Named("store")})
+	if err != nil {
+		return err
+	}
+	v.store = client
+	v.peers, err = peers.New(peers.Settings{
+		Self: fleet.Instance{
+			ID:          v.settings.ID,
+			PeerAddress: v.settings.AdvertisedPeersAddress,
+			HTTPAddress: v.settings.HTTPAddress,
+			DataCentre:  v.settings.DataCentre,
+			State:       fleet.Live,
+		},
+		Region: v.settings.Region,
+		Seeds:  v.settings.Seeds,
+		Store:  client,
+		Listen: v.settings.PeersAddress,
+		Logger: v.logger.Named("peers"),
+		Links:  v.settings.link,
+	})
+	return err
+}
+
+func (v *Server) startOwners() error {
+	v.owners = newOwners(ownersSettings{
+		self:     v.settings.ID,
+		network:  v.peers,
+		counters: &v.counters,
+		recorder: v.recorder,
+		resolve:  v.settings.link,
+		logger:   v.logger.Named("owner"),
+		changes:  v.peers.Subscribe(),
+	})
+	v.peers.HandleTransactions(func(ctx context.Context, begin *wire.Begin, s peers.Stream) {
+		v.owners.serve(ctx, begin, s)
+	})
+	return nil
+}
+
+func (v *Server) startCallers() error {
+	callers, err := pgsrv.New(pgsrv.Settings{
+		Address:        v.settings.CallersAddress,
+		InstanceID:     v.settings.ID,
+		Router:         newRouter(v.settings.ID, v.peers, v.openLocal),
+		Book:           v.peers.Book(),
+		Gate:           v.peers,
+		Logger:         v.logger.Named("callers"),
+		Observe:        v.observe,
+		MaxConnections: v.settings.MaxConnections,
+	})
+	v.callers = callers
+	return err
+}
+
+func (v *Server) startHTTP() error {
+	h, err := httpd.New(httpd.Settings{
+		Address:        v.settings.HTTPAddress,
+		Metrics:        v.meter.Handler(),
+		Ready:          v.ready,
+		State:          func() any { return v.report() },
+		Request:        v.findRequest,
+		ContractStatus: v.contractStatus,
+		Logger:         v.logger.Named("http"),
+	})
+	v.http = h
+	return err
+}
+
+// openLocal opens a transaction at this instance's own owners.
+func (v *Server) openLocal(_ context.Context, begin *wire.Begin) (peers.Stream, error) {
+	near, far := peers.Pipe(types.RequestID(begin.GetRequestId()))
+	v.locals.Go(func() {
+		defer func() { _ = far.Close() }()
+		v.owners.serve(v.running, begin, far)
+	})
+	return near, nil
+}
+
+// ready returns why the instance should get no new callers, or nil.
+func (v *Server) ready() error {
+	if v.stopping.Load() {
+		return fault.New(fault.Stopping, "instance "+string(v.settings.ID)+" is stopping")
+	}
+	if _, ok := v.peers.Membership().Find(v.settings.ID); !ok {
+		return fault.New(fault.Isolated, "the instance has not joined the membership yet")
+	}
+	return v.peers.Fresh()
+}
+
+// Stop ends the instance without cutting a request in flight, as far as its time allows.
+func (v *Server) Stop(ctx context.Context) {
+	v.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(ctx, v.settings.StopTimeout)
+	defer cancel()
+	v.logger.Info("stopping", "instance", v.settings.ID)
+	leaving, cancelLeave := context.WithTimeout(ctx, leaveTimeout)
+	if err := v.peers.Leave(leaving); err != nil {
+		v.logger.Warn("the membership does not say that this instance leaves", "error", err)
+	}
+	cancelLeave()
+	var drains sync.WaitGroup
+	drains.Go(func() {
+		if err := v.callers.Drain(ctx); err != nil {
+			v.logger.Warn("callers had not finished when the time to stop was over", "error", err)
+		}
+	})
+	drains.Go(func() { v.owners.releaseAll(ctx) })
+	drains.Wait()
+	v.Close()
+}
+
+// Close ends the instance at once.
+func (v *Server) Close() {
+	v.once.Do(func() {
+		v.cancel()
+		if v.http != nil {
+			_ = v.http.Close()
+		}
+		if v.callers != nil {
+			_ = v.callers.Close()
+		}
+		if v.owners != nil {
+			v.owners.close()
+		}
+		if v.peers != nil {
+			v.peers.Close()
+		}
+		if v.store != nil {
+			_ = v.store.Close()
+		}
+		v.locals.Wait()
+	})
+}
--- /dev/null
+++ b/io/server/settings.go
@@ -0,0 +1,103 @@
+package server
+
+import (
+	"net"
+	"net/netip"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"turmericpulley/core/fault"
+	"turmericpulley/core/types"
+)
+
+// Settings configure an instance.
+type Settings struct {
+	// ID names the instance; no other running instance may have it.
+	ID         types.InstanceID
+	Region     types.Region
+	DataCentre types.DataCentre
+	// CallersAddress is the IP number and port for callers.
+	CallersAddress string
+	// PeersAddress is the IP number and port for other instances.
+	PeersAddress string
+	// AdvertisedPeersAddress is what other instances dial; empty means PeersAddress.
+	AdvertisedPeersAddress string
+	// HTTPAddress is the IP number and port for operators.
+	HTTPAddress string
+	// Platform is the base URL of the platform.
+	Platform string
+	// Seeds are addresses of other instances to ask first.
+	Seeds []string
+	// Links maps addresses to the addresses to dial in their place.
+	Links map[string]string
+	// MaxConnections bounds the callers' connections; zero means the default.
+	MaxConnections int
+	// StopTimeout bounds a planned stop; zero means the default.
+	StopTimeout time.Duration
+	Logger      hclog.Logger
+}
+
+// DefaultStopTimeout bounds a planned stop.
+const DefaultStopTimeout = 15 * time.Second
+
+// Check reports all faults of the settings together; the error is a fault of the kind InvalidSettings.
+func (s Settings) Check() error {
+	var problems []string
+	for _, required := range []struct{ name, value string }{
+		{"id", string(s.ID)}, {"region", string(s.Region)}, {"data-centre", string(s.DataCentre)},
+	} {
+		if required.value == "" {
+			problems = append(problems, required.name+" is empty; give it a name")
+		}
+	}
+	for _, a := range []struct{ name, value string }{
+		{"callers-address", s.CallersAddress},
+		{"peers-address", s.PeersAddress},
+		{"http-address", s.HTTPAddress},
+	} {
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			problems = append(problems, a.name+" is "+quoted(a.value)+"; give an IP number and a port such as 127.0.0.1:5432")
+		}
+	}
+	if u, err := url.Parse(s.Platform); err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		problems = append(problems, "platform is "+quoted(s.Platform)+"; give a URL such as http://127.0.0.1:8500")
+	}
+	for _, seed := range s.Seeds {
+		if _, _, err := net.SplitHostPort(seed); err != nil {
+			problems = append(problems, "seed "+quoted(seed)+" has no port; give an IP number and a port")
+		}
+	}
+	if s.MaxConnections < 0 {
+		problems = append(problems, "max-connections is negative; give zero or more")
+	}
+	if len(problems) > 0 {
+		return fault.New(fault.InvalidSettings, strings.Join(problems, "; "))
+	}
+	return nil
+}
+
+func quoted(text string) string { return `"` + text + `"` }
+
+func (s Settings) withDefaults() Settings {
+	if s.AdvertisedPeersAddress == "" {
+		s.AdvertisedPeersAddress = s.PeersAddress
+	}
+	if s.StopTimeout <= 0 {
+		s.StopTimeout = DefaultStopTimeout
+	}
+	if s.Logger == nil {
+		s.Logger = hclog.NewNullLogger()
+	}
+	return s
+}
+
+// link returns the address to dial in place of another.
+func (s Settings) link(address string) string {
+	if via, ok := s.Links[address]; ok {
+		return via
+	}
+	return address
+}
