--- a/io/check/address.go
+++ b/io/check/address.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -26,3 +27,13 @@
 	}
 	return addresses
 }
+
+// listening reports whether the address accepts connections.
+func listening(address string) bool {
+	connection, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return false
+	}
+	_ = connection.Close()
+	return true
+}
--- /dev/null
+++ b/io/check/fleet.go
@@ -0,0 +1,140 @@
+package check
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"turmericpulley/core/policy"
+	"turmericpulley/core/types"
+	"turmericpulley/io/fakekv"
+)
+
+const (
+	// readyTimeout bounds the wait for the processes of a fleet.
+	readyTimeout = 20 * time.Second
+	pollInterval = 20 * time.Millisecond
+)
+
+// Fleet is a platform, members and instances, each in a process of its own, with a link on every path.
+type Fleet struct {
+	tb        testing.TB
+	layout    Layout
+	Platform  *Platform
+	Instances []*Instance
+	// Members holds the members of each database; the first of each is its primary at first.
+	Members [][]*Member
+}
+
+// NewFleet starts the processes of the layout and waits until every instance is ready.
+func NewFleet(tb testing.TB, layout Layout) *Fleet {
+	tb.Helper()
+	f := &Fleet{tb: tb, layout: layout}
+	for d := range layout.Databases {
+		f.Members = append(f.Members, f.newMembers(d))
+	}
+	f.Platform = newPlatform(tb, f.documents())
+	f.waitListening()
+	for i := range layout.Instances {
+		instance := newInstance(tb, layout, types.InstanceID(fmt.Sprintf("instance-%d", i+1)), f.Platform)
+		instance.DataCentre = layout.dataCentre(i)
+		f.Instances = append(f.Instances, instance)
+	}
+	f.Platform.SetTargets(f.targets())
+	for _, instance := range f.Instances {
+		instance.start(tb, layout, f.Instances, f.AllMembers())
+	}
+	f.WaitReady(f.Instances...)
+	return f
+}
+
+func (f *Fleet) newMembers(d int) []*Member {
+	var members []*Member
+	for i := range f.layout.Members {
+		target := types.TargetID(fmt.Sprintf("%s-%c", f.layout.databaseID(d), 'a'+i))
+		var primary *Member
+		if i > 0 {
+			primary = members[0]
+		}
+		m := newMember(f.tb, f.layout, target, primary)
+		m.DataCentre = f.layout.dataCentre(i)
+		members = append(members, m)
+	}
+	return members
+}
+
+// AllMembers returns the members of every database.
+func (f *Fleet) AllMembers() []*Member {
+	var members []*Member
+	for _, database := range f.Members {
+		members = append(members, database...)
+	}
+	return members
+}
+
+// Databases returns the names of the databases.
+func (f *Fleet) Databases() []types.DatabaseID {
+	names := make([]types.DatabaseID, 0, f.layout.Databases)
+	for d := range f.layout.Databases {
+		names = append(names, f.layout.databaseID(d))
+	}
+	return names
+}
+
+// documents returns the contents of the platform's store at first.
+func (f *Fleet) documents() map[string]any {
+	group := policy.Group{Group: f.layout.Group, Slots: f.layout.Slots, Connections: f.layout.Connections}
+	for d, members := range f.Members {
+		database := policy.Database{Database: f.layout.databaseID(d)}
+		for _, m := range members {
+			database.Members = append(database.Members, policy.Member{
+				Target: m.Target, Address: m.Replication.Address(), DataCentre: m.DataCentre,
+			})
+		}
+		group.Databases = append(group.Databases, database)
+	}
+	documents := map[string]any{"groups/" + string(group.Group): group}
+	for _, contract := range f.layout.Contracts {
+		documents["contracts/"+string(contract.Customer)] = contract
+	}
+	return documents
+}
+
+// targets returns the platform's list of what is live.
+func (f *Fleet) targets() []fakekv.Target {
+	var targets []fakekv.Target
+	for _, i := range f.Instances {
+		targets = append(targets, fakekv.Target{
+			ID: string(i.ID), Kind: fakekv.KindInstance, Address: i.peersAddress, DataCentre: i.DataCentre, State: fakekv.StateLive,
+		})
+	}
+	for _, m := range f.AllMembers() {
+		targets = append(targets, fakekv.Target{
+			ID: string(m.Target), Kind: fakekv.KindTarget, Address: m.Replication.Address(), DataCentre: m.DataCentre,
+			State: fakekv.StateLive,
+		})
+	}
+	return targets
+}
+
+// WaitReady waits until the instances take requests.
+func (f *Fleet) WaitReady(instances ...*Instance) {
+	f.tb.Helper()
+	for _, instance := range instances {
+		require.Eventually(f.tb, instance.Ready, readyTimeout, pollInterval, "%s is not ready", instance.ID)
+	}
+}
+
+// waitListening waits until the platform and every member accept connections.
+func (f *Fleet) waitListening() {
+	f.tb.Helper()
+	addresses := []string{f.Platform.Direct}
+	for _, m := range f.AllMembers() {
+		addresses = append(addresses, m.Direct)
+	}
+	for _, address := range addresses {
+		require.Eventually(f.tb, func() bool { return listening(address) }, readyTimeout, pollInterval, "%s", address)
+	}
+}
--- /dev/null
+++ b/io/check/platform.go
@@ -0,0 +1,65 @@
+package check
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"turmericpulley/io/fakekv"
+)
+
+// Platform is the platform's stand-in in a process of its own.
+type Platform struct {
+	*Process
+	// Direct is where the platform itself listens.
+	Direct string
+}
+
+// newPlatform starts a platform that holds the documents.
+func newPlatform(tb testing.TB, documents map[string]any) *Platform {
+	tb.Helper()
+	seed, err := json.Marshal(documents)
+	require.NoError(tb, err)
+	path := filepath.Join(tb.TempDir(), "seed.json")
+	require.NoError(tb, os.WriteFile(path, seed, 0o600))
+	p := &Platform{Direct: newAddresses(tb, 1)[0]}
+	p.Process = newProcess(tb, "platform", "standin", "platform", "--address", p.Direct, "--seed-file", path)
+	return p
+}
+
+// SetFaults makes the platform misbehave from now on.
+func (p *Platform) SetFaults(faults fakekv.Faults) { p.put("/standin/faults", faults) }
+
+// SetTargets replaces the platform's list.
+func (p *Platform) SetTargets(targets []fakekv.Target) { p.put("/standin/targets", targets) }
+
+// Calls returns how many calls the platform has had.
+func (p *Platform) Calls() fakekv.Calls {
+	p.tb.Helper()
+	response, err := http.Get("http://" + p.Direct + "/standin/calls")
+	require.NoError(p.tb, err)
+	defer func() { _ = response.Body.Close() }()
+	var calls fakekv.Calls
+	require.NoError(p.tb, json.NewDecoder(response.Body).Decode(&calls))
+	return calls
+}
+
+func (p *Platform) put(path string, document any) {
+	p.tb.Helper()
+	body, err := json.Marshal(document)
+	require.NoError(p.tb, err)
+	request, err := http.NewRequest(http.MethodPut, "http://"+p.Direct+path, bytes.NewReader(body))
+	require.NoError(p.tb, err)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(p.tb, err)
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	require.NoError(p.tb, err)
+	require.Equal(p.tb, http.StatusOK, response.StatusCode, string(answer))
+}
--- /dev/null
+++ b/io/check/status.go
@@ -0,0 +1,75 @@
+package check
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/pkg/errors"
+
+	"turmericpulley/core/types"
+)
+
+const (
+	statusTimeout = 2 * time.Second
+	primaryRole   = "primary"
+)
+
+// Status is what a member says about itself.
+type Status struct {
+	Role      string
+	Term      types.Term
+	Epoch     types.Epoch
+	Position  types.Position
+	Discarded int
+}
+
+// Status asks the member itself, past every link.
+func (m *Member) Status() (Status, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	connection, err := pgx.Connect(ctx, "postgres://check@"+m.Direct+"/check?sslmode=disable")
+	if err != nil {
+		return Status{}, errors.Wrapf(err, "connecting to %s", m.Target)
+	}
+	defer func() { _ = connection.Close(ctx) }()
+	rows, err := connection.Query(ctx, "SELECT * FROM pulley_status()", pgx.QueryExecModeSimpleProtocol)
+	if err != nil {
+		return Status{}, errors.Wrapf(err, "asking %s", m.Target)
+	}
+	values, err := pgx.CollectExactlyOneRow(rows, pgx.RowToMap)
+	if err != nil {
+		return Status{}, errors.Wrapf(err, "asking %s", m.Target)
+	}
+	return newStatus(values), nil
+}
+
+func newStatus(values map[string]any) Status {
+	text := func(name string) string {
+		value, _ := values[name].(string)
+		return value
+	}
+	number := func(name string) uint64 {
+		value, _ := strconv.ParseUint(text(name), 10, 64)
+		return value
+	}
+	return Status{
+		Role: text("role"), Term: types.Term(number("term")), Epoch: types.Epoch(number("epoch")),
+		Position: types.Position(number("position")), Discarded: int(number("discarded")),
+	}
+}
+
+// Primary returns the member of the database that is primary in the highest term.
+func (f *Fleet) Primary(database int) *Member {
+	var primary *Member
+	var term types.Term
+	for _, m := range f.Members[database] {
+		status, err := m.Status()
+		if err == nil && status.Role == primaryRole && status.Term > term {
+			primary = m
+			term = status.Term
+		}
+	}
+	return primary
+}
