--- a/io/server/fleet_test.go
+++ b/io/server/fleet_test.go
@@ -123,3 +123,35 @@
 	defer func() { _ = l.Close() }()
 	return l.Addr().String()
 }
+
+// owner returns the instance that owns the database.
+func (f *fleet) owner(t *testing.T) *server.Server {
+	t.Helper()
+	for _, s := range f.servers {
+		if len(s.Report().Databases) > 0 && s.Report().Databases[0].Phase == "serving" {
+			return s
+		}
+	}
+	require.FailNow(t, "no instance owns the database")
+	return nil
+}
+
+// waitForOwner waits until all instances have joined and one of them serves the database.
+func (f *fleet) waitForOwner(t *testing.T) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		serving := 0
+		for _, s := range f.servers {
+			r := s.Report()
+			if len(r.Instances) != len(f.servers) {
+				return false
+			}
+			for _, d := range r.Databases {
+				if d.Phase == "serving" {
+					serving++
+				}
+			}
+		}
+		return serving == 1
+	}, 10*time.Second, 20*time.Millisecond)
+}
--- a/io/server/report.go
+++ b/io/server/report.go
@@ -33,7 +33,8 @@
 	Suspected bool `json:"suspected"`
 }
 
-func (v *Server) report() Report {
+// Report returns what the instance believes at the moment.
+func (v *Server) Report() Report {
 	members := v.peers.Membership()
 	r := Report{
 		Instance:           v.settings.ID,
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -144,7 +144,7 @@
 		Address:        v.settings.HTTPAddress,
 		Metrics:        v.meter.Handler(),
 		Ready:          v.ready,
-		State:          func() any { return v.report() },
+		State:          func() any { return v.Report() },
 		Request:        v.findRequest,
 		ContractStatus: v.contractStatus,
 		Logger:         v.logger.Named("http"),
