--- a/io/pgsrv/caller.go
+++ b/io/pgsrv/caller.go
@@ -101,7 +101,7 @@
 	case kindSync:
 		return c.sync(m)
 	case kindTerminate:
-		return errTerminated
+		return c.terminate()
 	case kindCopyData, kindCopyDone, kindCopyFail:
 		return nil // what a caller still sends after COPY was refused
 	default:
@@ -109,6 +109,14 @@
 	}
 }
 
+// terminate ends the connection after the answer to the last batch.
+func (c *caller) terminate() error {
+	if c.batch == nil {
+		_ = c.settle()
+	}
+	return errTerminated
+}
+
 // idle reports whether no request or transaction is open.
 func (c *caller) idle() bool {
 	if c.batch != nil {
--- /dev/null
+++ b/io/pgsrv/drain_test.go
@@ -0,0 +1,64 @@
+package pgsrv_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/stretchr/testify/require"
+)
+
+func TestDrainLetsRequestsFinish(t *testing.T) {
+	b := newBench(t)
+	idle := startUp(t, b.dial())
+	open, running := b.connect(""), b.connect("")
+	_, err := open.Exec(b.context(), "BEGIN")
+	require.NoError(t, err)
+	ran := make(chan error, 1)
+	go func() {
+		_, err := running.Exec(context.Background(), "HANG")
+		ran <- err
+	}()
+	require.Eventually(t, func() bool { return len(b.record.snapshot().statements) == 2 }, patience, time.Millisecond)
+	drained := make(chan error, 1)
+	ctx := b.context()
+	go func() { drained <- b.server.Drain(ctx) }()
+	requireGoodbye(t, idle, "57P01")
+	_, err = net.Dial("tcp", b.server.Address().String())
+	require.Error(t, err)
+	_, err = open.Exec(b.context(), "INSERT order")
+	require.NoError(t, err)
+	_, err = open.Exec(b.context(), "COMMIT")
+	require.NoError(t, err)
+	_ = running.PgConn().Conn().SetDeadline(time.Now().Add(patience))
+	select {
+	case err := <-drained:
+		t.Fatalf("drained with a request in flight: %v", err)
+	case <-time.After(150 * time.Millisecond):
+	}
+	_ = running.PgConn().Conn().Close()
+	require.Error(t, <-ran)
+	require.NoError(t, <-drained)
+	require.Equal(t, []string{"BEGIN", "HANG", "INSERT order", "COMMIT"}, b.record.snapshot().statements)
+	_, err = open.Exec(b.context(), "INSERT late")
+	var failure *pgconn.PgError
+	if err != nil && !open.IsClosed() {
+		require.ErrorAs(t, err, &failure)
+	}
+	require.Error(t, err)
+}
+
+func TestDrainIsBounded(t *testing.T) {
+	b := newBench(t)
+	open := b.connect("")
+	_, err := open.Exec(b.context(), "BEGIN")
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	require.ErrorIs(t, b.server.Drain(ctx), context.DeadlineExceeded)
+	_, err = open.Exec(b.context(), "COMMIT")
+	require.NoError(t, err, "a transaction in flight goes on while the server drains")
+	require.NoError(t, b.server.Drain(b.context()))
+}
--- a/io/pgsrv/exchange.go
+++ b/io/pgsrv/exchange.go
@@ -58,11 +58,11 @@
 }
 
 // send sends a part of a batch; it returns the fault of a transaction that ended before the batch began.
-func (x *exchange) send(a *answer, payload []byte, parses []parse, end bool) *fault.Fault {
-	if f, proceed := x.expect(a, parses, end); !proceed {
+func (x *exchange) send(a *answer, p part) *fault.Fault {
+	if f, proceed := x.expect(a, p); !proceed {
 		return f
 	}
-	frame := &wire.Frame{RequestId: uint64(x.requestID), Payload: payload, BatchEnd: end}
+	frame := &wire.Frame{RequestId: uint64(x.requestID), Payload: p.payload, BatchEnd: p.end}
 	if err := x.transmit(frame); err != nil {
 		x.fail(fault.New(fault.OutcomeUnknown, "sending to the owner failed: "+err.Error()))
 		x.hangUp()
@@ -71,21 +71,22 @@
 }
 
 // expect notes what the owner will owe, and reports whether there is still an owner to send to.
-func (x *exchange) expect(a *answer, parses []parse, end bool) (*fault.Fault, bool) {
+func (x *exchange) expect(a *answer, p part) (*fault.Fault, bool) {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	if x.state == exchangeLost {
 		return x.fault, false
 	}
-	if a.failed && end {
+	if a.failed && p.end {
 		x.conclude(a, reply{})
 	}
 	if x.state == exchangeOver {
 		return nil, false
 	}
 	x.current = a
-	a.parses = append(a.parses, parses...)
-	a.synced = end
+	a.parses = append(a.parses, p.parses...)
+	a.text = p.text
+	a.synced = p.end
 	return nil, !a.failed
 }
 
@@ -196,7 +197,7 @@
 func (x *exchange) finish() {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
-	if x.current != nil {
+	if x.current != nil && x.state != exchangeFailed {
 		close(x.current.done)
 		x.current = nil
 	}
--- /dev/null
+++ b/io/pgsrv/failure_test.go
@@ -0,0 +1,196 @@
+package pgsrv_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/stretchr/testify/require"
+
+	"turmericpulley/core/fault"
+	"turmericpulley/core/types"
+	"turmericpulley/io/pgsrv"
+)
+
+func TestStartUpIsRefused(t *testing.T) {
+	b := newBench(t)
+	for _, c := range []struct{ user, database, more, state string }{
+		{"stranger", "orders-1", "", "28000"},
+		{"desk", "nowhere", "", "3D000"},
+		{"desk", "orders-1", "pulley.max_read_age=old", "22023"},
+		{"desk", "orders-1", "pulley.colour=red", "22023"},
+		{"desk", "orders-1", "client_encoding=LATIN1", "22023"},
+		{"desk", "orders-1", "options=-x", "22023"},
+	} {
+		_, err := pgx.Connect(b.context(), b.url(c.user, c.database, c.more))
+		requireState(t, c.state, err)
+	}
+	b.set(func(b *bench) { b.groups = nil })
+	_, err := pgx.Connect(b.context(), b.url("desk", "orders-1", ""))
+	requireState(t, "28000", err)
+	require.Empty(t, b.record.snapshot().begins)
+}
+
+func TestRefusedTransactionsAreAnswered(t *testing.T) {
+	b := newBench(t)
+	conn := b.connect("")
+	exec := func() error {
+		_, err := conn.Exec(b.context(), "INSERT $1", pgx.QueryExecModeExec, "x")
+		return err
+	}
+	b.set(func(b *bench) { b.stale = fault.New(fault.Isolated, "no word from the store") })
+	require.Contains(t, requireState(t, "57P03", exec()), "not run: no word from the store")
+	b.set(func(b *bench) { b.stale, b.refusal = nil, fault.New(fault.QueueFull, "100 wait") })
+	requireState(t, "53300", exec())
+	b.set(func(b *bench) { b.refusal = context.DeadlineExceeded })
+	requireState(t, "57P03", exec())
+	b.set(func(b *bench) { b.refusal, b.groups = nil, nil })
+	requireState(t, "28000", exec())
+	require.Empty(t, b.record.snapshot().begins)
+	b.set(func(b *bench) { b.groups = []types.GroupID{"orders-db"} })
+	require.NoError(t, exec())
+	require.Equal(t, map[fault.Kind]uint64{
+		fault.Isolated: 1, fault.QueueFull: 1, fault.NoOwner: 1, fault.GroupForbidden: 1,
+	}, b.server.Counters().Refusals.Snapshot())
+	require.Eventually(t, func() bool { return len(b.observed()) == 5 }, patience, time.Millisecond)
+}
+
+func TestOwnersFailures(t *testing.T) {
+	for _, c := range []struct {
+		text, state string
+		unknown     uint64
+	}{
+		{"REFUSE noPrimary", "57P03", 0},
+		{"REFUSE rateExceeded", "53400", 0},
+		{"REFUSE alreadyRun", "23505", 0},
+		{"REFUSE outcomeUnknown", "08007", 1},
+		{"BREAK", "08007", 1},
+		{"HALF", "08007", 1},
+		{"TORN", "08007", 1},
+		{"CROSS", "08007", 1},
+		{"COPY orders FROM STDIN", "0A000", 0},
+	} {
+		for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeSimpleProtocol, pgx.QueryExecModeExec} {
+			t.Run(c.text+" "+mode.String(), func(t *testing.T) {
+				b := newBench(t)
+				conn := b.connect("")
+				rows, _ := conn.Query(b.context(), c.text, mode)
+				rows.Close()
+				requireState(t, c.state, rows.Err())
+				require.EqualValues(t, 'I', conn.PgConn().TxStatus())
+				_, err := conn.Exec(b.context(), "INSERT again")
+				require.NoError(t, err)
+				require.Equal(t, c.unknown, b.server.Counters().OutcomesUnknown.Load())
+				require.Eventually(t, func() bool { return len(b.observed()) == 2 }, patience, time.Millisecond)
+			})
+		}
+	}
+}
+
+func TestLostBlockStaysFailedUntilRollback(t *testing.T) {
+	for _, text := range []string{"BREAK", "REFUSE leaseLost", "COPY orders FROM STDIN"} {
+		for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeSimpleProtocol, pgx.QueryExecModeCacheStatement} {
+			b := newBench(t)
+			conn := b.connect("")
+			tx, err := conn.Begin(b.context())
+			require.NoError(t, err)
+			_, err = tx.Exec(b.context(), text, mode)
+			require.Error(t, err)
+			require.EqualValues(t, 'E', conn.PgConn().TxStatus())
+			_, err = tx.Exec(b.context(), "INSERT $1", mode, "order")
+			requireState(t, "25P02", err)
+			require.NoError(t, tx.Rollback(b.context()))
+			_, err = conn.Exec(b.context(), "INSERT $1", mode, "order")
+			require.NoError(t, err)
+			require.NotContains(t, b.record.snapshot().statements, "rollback")
+		}
+	}
+}
+
+func TestBlockLostBetweenStatementsIsNotRun(t *testing.T) {
+	b := newBench(t)
+	conn := b.connect("")
+	_, err := conn.Exec(b.context(), "BEGIN; LEAVE")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return b.record.snapshot().ended == 1 }, patience, time.Millisecond)
+	_, err = conn.Exec(b.context(), "COMMIT")
+	require.Contains(t, requireState(t, "57P03", err), "not run")
+	_, err = conn.Exec(b.context(), "ROLLBACK")
+	require.NoError(t, err)
+	require.Zero(t, b.server.Counters().OutcomesUnknown.Load())
+}
+
+func TestErrorAfterFlushIsFollowedByOneReady(t *testing.T) {
+	for _, text := range []string{"BREAK", "REFUSE noPrimary", "BAD one"} {
+		b := newBench(t)
+		conn := b.connect("")
+		pipeline := conn.PgConn().StartPipeline(b.context())
+		pipeline.SendQueryParams(text, nil, nil, nil, nil)
+		pipeline.SendFlushRequest()
+		require.NoError(t, pipeline.Flush())
+		result, err := pipeline.GetResults()
+		if err == nil {
+			err = result.(*pgconn.ResultReader).Read().Err
+		}
+		require.Error(t, err)
+		pipeline.SendQueryParams("INSERT skipped", nil, nil, nil, nil)
+		require.NoError(t, pipeline.Sync())
+		for result != nil || err != nil {
+			result, err = pipeline.GetResults()
+			if _, ok := result.(*pgconn.PipelineSync); ok {
+				break
+			}
+		}
+		require.NoError(t, pipeline.Close())
+		_, err = conn.Exec(b.context(), "INSERT again")
+		require.NoError(t, err)
+		require.NotContains(t, b.record.snapshot().statements, "INSERT skipped")
+	}
+}
+
+func TestCancelRequestReachesTheOwner(t *testing.T) {
+	b := newBench(t)
+	conn := b.connect("")
+	require.Equal(t, pgsrv.InstanceHash("slo-a-1"), uint16(conn.PgConn().PID()>>16))
+	go func() {
+		for len(b.record.snapshot().statements) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		_ = conn.PgConn().CancelRequest(context.Background())
+	}()
+	_, err := conn.Exec(b.context(), "HANG")
+	requireState(t, "57014", err)
+	require.Equal(t, 1, b.record.snapshot().cancels)
+	require.EqualValues(t, 1, b.server.Counters().Cancelled.Load())
+	conn.PgConn().SecretKey()[0]++
+	require.NoError(t, conn.PgConn().CancelRequest(b.context()))
+	require.Eventually(t, func() bool { return b.server.Counters().CancelsIgnored.Load() == 1 }, patience, time.Millisecond)
+}
+
+func TestCallerThatLeavesEndsItsTransaction(t *testing.T) {
+	for _, text := range []string{"HANG", "BEGIN"} {
+		b := newBench(t)
+		conn := b.connect("")
+		ctx, cancel := context.WithTimeout(b.context(), 50*time.Millisecond)
+		_, _ = conn.Exec(ctx, text)
+		cancel()
+		_ = conn.PgConn().Conn().Close()
+		require.Eventually(t, func() bool { return b.record.snapshot().ended == 1 }, patience, time.Millisecond)
+		require.Eventually(t, func() bool { return len(b.observed()) == 1 }, patience, time.Millisecond)
+		require.True(t, b.observed()[0].Abandoned)
+	}
+}
+
+func TestCallerThatDoesNotReadHarmsNobody(t *testing.T) {
+	b := newBench(t)
+	stalled := b.dial()
+	startUp(t, stalled)
+	_, err := stalled.Write(encode(t, query(strings.Repeat("BIG; ", 4))))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return len(b.record.snapshot().statements) == 4 }, patience, time.Millisecond)
+	_, err = b.connect("").Exec(b.context(), "INSERT other")
+	require.NoError(t, err)
+}
--- a/io/pgsrv/harness_test.go
+++ b/io/pgsrv/harness_test.go
@@ -36,21 +36,21 @@
 	seen    []pgsrv.Transaction
 }
 
-func newBench(t testing.TB, change ...func(*pgsrv.Settings)) *bench {
-	t.Helper()
-	b := &bench{t: t, groups: []types.GroupID{"orders-db"}}
+func newBench(tb testing.TB, change ...func(*pgsrv.Settings)) *bench {
+	tb.Helper()
+	b := &bench{t: tb, groups: []types.GroupID{"orders-db"}}
 	settings := pgsrv.Settings{Address: "127.0.0.1:0", InstanceID: "slo-a-1", Router: b, Book: b, Gate: b, Observe: b.observe}
 	for _, f := range change {
 		f(&settings)
 	}
 	server, err := pgsrv.New(settings)
-	require.NoError(t, err)
+	require.NoError(tb, err)
 	b.server = server
-	t.Cleanup(func() {
-		require.NoError(t, server.Close())
+	tb.Cleanup(func() {
+		require.NoError(tb, server.Close())
 		b.owners.Wait()
-		require.Zero(t, server.Counters().Connections.Load())
-		require.Empty(t, b.record.named, "a target saw a named statement")
+		require.Zero(tb, server.Counters().Connections.Load())
+		require.Empty(tb, b.record.named, "a target saw a named statement")
 	})
 	return b
 }
@@ -126,10 +126,10 @@
 	return seen.begins[len(seen.begins)-1]
 }
 
-func requireState(t testing.TB, state string, err error) *pgconn.PgError {
-	t.Helper()
+func requireState(tb testing.TB, state string, err error) string {
+	tb.Helper()
 	var failure *pgconn.PgError
-	require.ErrorAs(t, err, &failure)
-	require.Equal(t, state, failure.Code, failure.Message)
-	return failure
+	require.ErrorAs(tb, err, &failure)
+	require.Equal(tb, state, failure.Code, failure.Message)
+	return failure.Message
 }
--- a/io/pgsrv/owner_test.go
+++ b/io/pgsrv/owner_test.go
@@ -141,7 +141,7 @@
 	}
 	switch m := m.(type) {
 	case *pgproto3.Query:
-		for _, text := range strings.Split(m.String, ";") {
+		for _, text := range strings.Split(m.String, "; ") {
 			o.statement(strings.TrimSpace(text), nil, true, frames)
 		}
 		if !o.stopped {
@@ -239,8 +239,8 @@
 		}
 		o.send(&pgproto3.DataRow{Values: [][]byte{[]byte(rest)}})
 		o.complete("SELECT 1")
-	case "SET", "RESET":
-		o.complete(word)
+	case "SET", "RESET", "set":
+		o.complete(strings.ToUpper(word))
 	case "COPY":
 		o.send(&pgproto3.CopyInResponse{ColumnFormatCodes: []uint16{0}})
 		o.flush(nil)
@@ -286,6 +286,11 @@
 		case <-waitClosed(frames):
 			o.stopped = true
 		}
+	case "LEAVE":
+		o.complete("LEAVE")
+		o.ready()
+		o.flush(nil)
+		o.stopped = true
 	case "BIG":
 		o.send(&pgproto3.DataRow{Values: [][]byte{make([]byte, 8<<20)}})
 		o.complete("SELECT 1")
--- a/io/pgsrv/relay.go
+++ b/io/pgsrv/relay.go
@@ -87,18 +87,22 @@
 	if err != nil {
 		return 0, err
 	}
-	if x.caller.write(result.data) != nil {
+	return x.hand(a, result), nil
+}
+
+// hand gives the caller a part of its answer and returns the status when it was the last one.
+func (x *exchange) hand(a *answer, result sifted) byte {
+	if err := x.caller.write(result.data); err != nil {
 		x.forsake()
-		return 0, nil
+		return 0
 	}
 	if result.copying {
 		x.refuseCopy()
-		return 0, nil
 	}
 	if result.status != 0 {
 		x.complete(a, result.status)
 	}
-	return result.status, nil
+	return result.status
 }
 
 // complete ends the answer to a batch.
--- /dev/null
+++ b/io/pgsrv/session_test.go
@@ -0,0 +1,110 @@
+package pgsrv_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/stretchr/testify/require"
+)
+
+func TestPulleySettingsAreAnsweredLocally(t *testing.T) {
+	for _, mode := range []pgx.QueryExecMode{
+		pgx.QueryExecModeCacheStatement, pgx.QueryExecModeDescribeExec, pgx.QueryExecModeExec, pgx.QueryExecModeSimpleProtocol,
+	} {
+		t.Run(mode.String(), func(t *testing.T) {
+			b := newBench(t)
+			conn := b.connect("pulley.session=desk-1&options=-c%20pulley.max_read_age%3D2s")
+			query := func(text string) (string, error) {
+				rows, _ := conn.Query(b.context(), text, mode)
+				defer rows.Close()
+				value := ""
+				if rows.Next() {
+					require.NoError(t, rows.Scan(&value))
+				}
+				rows.Close()
+				return value + rows.CommandTag().String(), rows.Err()
+			}
+			for _, c := range []struct{ text, answer, state string }{
+				{"SHOW pulley.session", "desk-1SHOW", ""},
+				{"show pulley.max_read_age;", "2sSHOW", ""},
+				{"SET pulley.session = 'it''s'", "SET", ""},
+				{"SHOW pulley.session", "it'sSHOW", ""},
+				{"RESET pulley.session", "RESET", ""},
+				{"SHOW pulley.session", "desk-1SHOW", ""},
+				{"set session pulley.read_only to ON;", "SET", ""},
+				{"SET pulley.max_read_age TO '500ms'", "SET", ""},
+				{"SET pulley.max_read_age TO 'soon'", "", "22023"},
+				{"SET pulley.colour = 'red'", "", "42704"},
+				{"SET LOCAL pulley.read_only = on", "", "0A000"},
+				{"SET pulley.request_key = 'k-1'", "SET", ""},
+			} {
+				answer, err := query(c.text)
+				if c.state != "" {
+					requireState(t, c.state, err)
+					continue
+				}
+				require.NoError(t, err, c.text)
+				require.Equal(t, c.answer, answer)
+			}
+			require.Empty(t, b.record.snapshot().begins)
+			_, err := conn.Exec(b.context(), "INSERT $1", mode, "order")
+			require.NoError(t, err)
+			begin := b.lastBegin()
+			require.True(t, begin.ReadOnly)
+			require.Equal(t, "desk-1", begin.Session)
+			require.EqualValues(t, 500, begin.GetMaxReadAgeMs())
+			require.Equal(t, "k-1", begin.RequestKey)
+			_, err = conn.Exec(b.context(), "INSERT $1", mode, "order")
+			require.NoError(t, err)
+			require.Empty(t, b.lastBegin().RequestKey, "a request key is for one transaction")
+		})
+	}
+}
+
+func TestPulleySettingInsideBatchIsRefused(t *testing.T) {
+	b := newBench(t)
+	conn := b.connect("")
+	for _, texts := range [][]string{{"INSERT one", "SET pulley.read_only = on"}, {"SET pulley.read_only = on", "INSERT one"}} {
+		batch := &pgx.Batch{}
+		for _, text := range texts {
+			batch.Queue(text)
+		}
+		requireState(t, "0A000", conn.SendBatch(b.context(), batch).Close())
+	}
+	require.NotContains(t, b.record.snapshot().statements, "INSERT one")
+}
+
+func TestSettingsFollowTheSession(t *testing.T) {
+	b := newBench(t)
+	conn := b.connect(`search_path=a,"B"&extra.x=it's&y=back%5Cslash&options=-c%20geqo%3Doff%20--work-mem%3D1%5C%20MB`)
+	settings := func() []string {
+		_, err := conn.Exec(b.context(), "INSERT x")
+		require.NoError(t, err)
+		return b.lastBegin().Settings
+	}
+	initial := []string{
+		"SET extra.x = 'it''s'", "SET geqo = 'off'", "SET search_path = 'a', 'B'",
+		"SET work_mem = '1 MB'", `SET y = E'back\\slash'`,
+	}
+	require.Equal(t, initial, settings())
+	run := func(texts ...string) {
+		for _, text := range texts {
+			_, err := conn.Exec(b.context(), text)
+			require.NoError(t, err)
+		}
+	}
+	run("SET TIME ZONE 'UTC'", "SET a = 'x;y'", "set timezone = 'CET'", "SET LOCAL b = 1", "BEGIN", "SET c = 1", "COMMIT", "SET d = 1; SET e = 2")
+	require.Equal(t, append(initial[:5:5], "set timezone = 'CET'", "SET a = 'x;y'"), settings())
+	run("RESET a")
+	require.Equal(t, append(initial[:5:5], "set timezone = 'CET'"), settings())
+	run("RESET ALL")
+	require.Equal(t, initial, settings())
+	for i := range 64 {
+		run(fmt.Sprintf("SET s%d = 1", i))
+	}
+	_, err := conn.Exec(b.context(), "SET s64 = 1")
+	requireState(t, "53400", err)
+	run("SET s63 = 2")
+	require.Len(t, settings(), 5+64)
+}
--- a/io/pgsrv/submit.go
+++ b/io/pgsrv/submit.go
@@ -24,9 +24,8 @@
 	if !b.sent {
 		c.answer = newAnswer()
 	}
-	c.answer.text = b.only()
 	c.defined = b.defined
-	if f := x.send(c.answer, b.payload, b.parses, end); f != nil {
+	if f := x.send(c.answer, part{payload: b.payload, parses: b.parses, text: b.only(), end: end}); f != nil {
 		return c.refuse(f, end)
 	}
 	b.payload, b.parses, b.sent = nil, nil, true
