--- /dev/null
+++ b/core/fleet/membership_test.go
@@ -0,0 +1,163 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"turmericpulley/core/fleet"
+	"turmericpulley/core/policy"
+	"turmericpulley/core/types"
+)
+
+// membersOf returns a membership of so many live instances in three data centres.
+func membersOf(size int) fleet.Membership {
+	members := fleet.Membership{Revision: 7}
+	for index := range size {
+		members, _ = members.With([]fleet.Change{fleet.Join{Instance: instance(index)}})
+	}
+	return members
+}
+
+func instance(index int) fleet.Instance {
+	return fleet.Instance{
+		ID:          types.InstanceID(fmt.Sprintf("i%d", index)),
+		DataCentre:  types.DataCentre(fmt.Sprintf("dc-%d", index%3)),
+		Incarnation: 1,
+		State:       fleet.Live,
+	}
+}
+
+func database(index int, dataCentres ...types.DataCentre) policy.Database {
+	d := policy.Database{Database: types.DatabaseID(fmt.Sprintf("db-%d", index))}
+	for _, dc := range dataCentres {
+		d.Members = append(d.Members, policy.Member{DataCentre: dc})
+	}
+	return d
+}
+
+func TestOwnersMoveOnlyFromOrToTheInstanceThatChanged(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(2, 40).Draw(t, "size")
+		before := membersOf(size)
+		gone := before.Instances[rapid.IntRange(0, size-1).Draw(t, "gone")]
+		change := rapid.SampledFrom([]fleet.Change{
+			fleet.Remove{ID: gone.ID, Incarnation: 1}, fleet.Leave{ID: gone.ID, Incarnation: 1},
+		}).Draw(t, "change")
+		after, changed := before.With([]fleet.Change{change})
+		require.True(t, changed)
+		for index := range 50 {
+			old, now := before.Ranked(database(index)), after.Ranked(database(index))
+			require.Len(t, now, size-1)
+			if old[0].ID == gone.ID {
+				require.Equal(t, old[1].ID, now[0].ID, "the second in rank takes over")
+				continue
+			}
+			require.Equal(t, old[0].ID, now[0].ID)
+		}
+	})
+}
+
+func TestOwnersAreSpreadAndNearTheMembers(t *testing.T) {
+	members := membersOf(30)
+	owned := map[types.InstanceID]int{}
+	for index := range 3000 {
+		owner := members.Ranked(database(index, "dc-1"))[0]
+		require.Equal(t, types.DataCentre("dc-1"), owner.DataCentre)
+		owned[owner.ID]++
+	}
+	require.Len(t, owned, 10)
+	for _, count := range owned {
+		require.InDelta(t, 300, count, 100)
+	}
+	require.Len(t, members.Ranked(database(0, "elsewhere")), 30, "any instance when none is near")
+}
+
+func TestEpochsGrowWithTheRevisionAndTheRank(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		revision := types.Revision(rapid.Uint32().Draw(t, "revision"))
+		rank := rapid.IntRange(0, 14).Draw(t, "rank")
+		epoch := fleet.OwnerEpoch(revision, rank)
+		require.Greater(t, fleet.OwnerEpoch(revision, rank+1), epoch)
+		require.Greater(t, fleet.OwnerEpoch(revision+1, 0), fleet.OwnerEpoch(revision, 100))
+	})
+}
+
+func TestChangesOfOtherIncarnationsAreIgnored(t *testing.T) {
+	members := membersOf(3)
+	later := instance(1)
+	later.Incarnation = 5
+	members, changed := members.With([]fleet.Change{fleet.Join{Instance: later}})
+	require.True(t, changed)
+	for _, late := range []fleet.Change{
+		fleet.Join{Instance: instance(1)}, fleet.Remove{ID: "i1", Incarnation: 1}, fleet.Leave{ID: "i1", Incarnation: 1},
+	} {
+		require.True(t, members.Contains(late), "%T", late)
+	}
+	value, err := members.Encode()
+	require.NoError(t, err)
+	decoded, err := fleet.Decode(value, members.Revision)
+	require.NoError(t, err)
+	require.Equal(t, members, decoded)
+}
+
+func TestEveryInstanceIsWatchedAndNewsSpreadsInFewHops(t *testing.T) {
+	for _, size := range []int{2, 9, 40, 315} {
+		members := membersOf(size)
+		watchers := map[types.InstanceID]int{}
+		for _, i := range members.Instances {
+			watched := members.Watched(i.ID)
+			require.Len(t, watched, min(size-1, 8))
+			require.False(t, fleet.Holds(watched, i.ID))
+			for _, w := range watched {
+				watchers[w.ID]++
+			}
+		}
+		for _, i := range members.Instances {
+			require.GreaterOrEqual(t, watchers[i.ID], min(size-1, 2), "watchers of %s of %d", i.ID, size)
+		}
+		require.LessOrEqual(t, hops(members), 5)
+	}
+}
+
+// hops returns the longest way of news that each instance learns from those it watches.
+func hops(members fleet.Membership) int {
+	longest := 0
+	for _, start := range members.Instances {
+		reached := map[types.InstanceID]int{start.ID: 0}
+		for queue := []types.InstanceID{start.ID}; len(queue) > 0; queue = queue[1:] {
+			for _, next := range members.Watched(queue[0]) {
+				if _, known := reached[next.ID]; !known {
+					reached[next.ID] = reached[queue[0]] + 1
+					longest = max(longest, reached[next.ID])
+					queue = append(queue, next.ID)
+				}
+			}
+		}
+		if len(reached) < len(members.Instances) {
+			return len(members.Instances)
+		}
+		if len(members.Instances) > 100 && start.ID > "i12" {
+			break
+		}
+	}
+	return longest
+}
+
+func TestTreeReachesEveryInstanceOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := membersOf(rapid.IntRange(1, 200).Draw(t, "size"))
+		root := rapid.SampledFrom(members.Instances).Draw(t, "root")
+		reached := map[types.InstanceID]bool{root.ID: true}
+		for queue := []types.InstanceID{root.ID}; len(queue) > 0; queue = queue[1:] {
+			for _, child := range fleet.Children(members.Instances, root.ID, queue[0]) {
+				require.False(t, reached[child.ID])
+				reached[child.ID] = true
+				queue = append(queue, child.ID)
+			}
+		}
+		require.Len(t, reached, len(members.Instances))
+	})
+}
--- /dev/null
+++ b/core/fleet/monitor_test.go
@@ -0,0 +1,55 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"turmericpulley/core/fleet"
+)
+
+func TestMonitorProbesBeforeItSuspects(t *testing.T) {
+	now := time.Now()
+	m := fleet.NewMonitor(now)
+	require.Equal(t, fleet.SendHeartbeat{At: now, Deadline: now.Add(600 * time.Millisecond)}, m.Next())
+	require.False(t, m.Heard(now, now.Add(time.Millisecond)))
+	require.Equal(t, now.Add(200*time.Millisecond), m.Next().(fleet.SendHeartbeat).At)
+
+	late := now.Add(601 * time.Millisecond)
+	m.Missed(late)
+	require.Equal(t, fleet.SendProbe{At: late}, m.Next())
+	require.False(t, m.Suspected())
+	require.True(t, m.ProbeFailed(late))
+	require.True(t, m.Suspected())
+	require.Equal(t, fleet.SendProbe{At: late.Add(500 * time.Millisecond)}, m.Next())
+	require.False(t, m.ProbeFailed(late.Add(500*time.Millisecond)), "suspected once only")
+	require.True(t, m.Heard(late, late), "recovered")
+	require.IsType(t, fleet.SendHeartbeat{}, m.Next())
+}
+
+func TestRemovalNeedsTwoReportersUnlessFewOrAlone(t *testing.T) {
+	require.Equal(t, 2, fleet.View{Live: 9, Watched: 8, Suspected: 8, Silence: 4 * time.Second}.ReportersNeeded())
+	require.Equal(t, 1, fleet.View{Live: 9, Watched: 8, Suspected: 8, Silence: 5 * time.Second}.ReportersNeeded())
+	require.Equal(t, 1, fleet.View{Live: 2, Watched: 1, Suspected: 1}.ReportersNeeded())
+	require.Equal(t, 500*time.Millisecond, fleet.View{Live: 9, Watched: 8, Suspected: 3}.RemovalDelay(1))
+	require.Equal(t, 2*time.Second, fleet.View{Live: 9, Watched: 8, Suspected: 5}.RemovalDelay(0), "smaller side waits")
+}
+
+func TestReportsCountOnlyRecentMembers(t *testing.T) {
+	now, members, reports := time.Now(), membersOf(4), fleet.NewReports()
+	subject := fleet.Subject{ID: "i1", Incarnation: 1}
+	report := fleet.Report{Reporter: "i2", Failed: "i1", Incarnation: 1}
+	reports.Add(report, now)
+	reports.Add(report, now)
+	require.Equal(t, 1, reports.Reporters(subject, members, now), "one watcher counts once")
+	report.Reporter = "stranger"
+	reports.Add(report, now)
+	require.Equal(t, 1, reports.Reporters(subject, members, now))
+	report.Reporter = "i3"
+	reports.Add(report, now.Add(2*time.Second))
+	require.Equal(t, 2, reports.Reporters(subject, members, now.Add(2*time.Second)))
+	require.Equal(t, 1, reports.Reporters(subject, members, now.Add(4*time.Second)))
+	reports.Forget(subject)
+	require.Zero(t, reports.Reporters(subject, members, now))
+}
