fix: end idle connections at once when a member has left

Leave overwrote the read deadline that wakes idle sessions, so they ended a second late and without 57P01. Only connections without a session are closed now.

--- /dev/null
+++ b/io/fakedb/limits_test.go
@@ -0,0 +1,199 @@
+package fakedb_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/stretchr/testify/require"
+
+	"turmericpulley/io/fakedb"
+)
+
+func TestSlotsQueueStatementsButNotControl(t *testing.T) {
+	settings := fast()
+	settings.Slots = 1
+	m := start(t, settings)
+	sleeper, waiter, owner := connect(t, m, "&pulley.customer=desk"), connect(t, m, ""), connect(t, m, "")
+	exec(t, waiter, "SET pulley.customer = 'desk'")
+	done := make(chan error, 1)
+	go func() {
+		_, err := sleeper.Exec(background(t), "SELECT pg_sleep(0.3)")
+		done <- err
+	}()
+	eventually(t, func() bool { return len(m.Peaks()) > 1 })
+	started := time.Now()
+	exec(t, owner, "SELECT * FROM pulley_status()")
+	require.Less(t, time.Since(started), 200*time.Millisecond)
+	require.Equal(t, "active", text(t, owner, "SELECT state FROM pg_stat_activity WHERE pid = $1", sleeper.PgConn().PID()))
+	exec(t, waiter, "SELECT 1")
+	require.GreaterOrEqual(t, time.Since(started), 200*time.Millisecond)
+	require.NoError(t, <-done)
+	require.Contains(t, m.Peaks(), fakedb.Peak{Customer: "desk", Connections: 2, Statements: 2})
+	require.Contains(t, m.Peaks(), fakedb.Peak{Customer: "*", Connections: 3, Statements: 2})
+	require.Equal(t, "SELECT 2", exec(t, owner, "SELECT * FROM pulley_standin_peaks()"))
+}
+
+func TestConnectionCapAdmitsOneOwnerMore(t *testing.T) {
+	settings := fast()
+	settings.Connections = 1
+	m := start(t, settings)
+	connect(t, m, "")
+	_, err := dial(t, m.Address(), "")
+	requireState(t, "53300", err)
+	connect(t, m, "&pulley.epoch=5")
+	_, err = dial(t, m.Address(), "&pulley.epoch=5")
+	requireState(t, "53300", err)
+}
+
+func TestClaimEndsOlderEpochs(t *testing.T) {
+	m := start(t, fast())
+	plain, first := connect(t, m, ""), connect(t, m, "&pulley.epoch=1")
+	require.Equal(t, fakedb.Status{}.SinceOwner-1, m.Status().SinceOwner)
+	exec(t, first, "SELECT * FROM pulley_claim(1)")
+	exec(t, first, "SELECT * FROM pulley_status()")
+	exec(t, first, "BEGIN")
+	exec(t, first, "INSERT INTO t (key, value) VALUES ('a', '1')")
+	second := connect(t, m, "&pulley.epoch=2")
+	exec(t, second, "SELECT * FROM pulley_claim(2)")
+	exec(t, second, "SELECT * FROM pulley_claim(2)")
+	_, err := first.Exec(background(t), "COMMIT")
+	requireState(t, "57P01", err)
+	require.GreaterOrEqual(t, m.Status().SinceOwner, time.Duration(0))
+	execFails(t, second, "55000", "SELECT * FROM pulley_claim(1)")
+	_, err = dial(t, m.Address(), "&pulley.epoch=1")
+	requireState(t, "57P03", err)
+	require.Equal(t, "INSERT 0 1", exec(t, plain, "INSERT INTO t (key, value) VALUES ('a', '1')"))
+}
+
+func TestLockedRowTimesOutWithoutHoldingASlot(t *testing.T) {
+	settings := fast()
+	settings.Slots, settings.LockTimeout = 1, 100*time.Millisecond
+	m := start(t, settings)
+	holder, waiter := connect(t, m, ""), connect(t, m, "")
+	exec(t, holder, "BEGIN")
+	exec(t, holder, "INSERT INTO t (key, value) VALUES ('a', '1')")
+	execFails(t, waiter, "55P03", "UPDATE t SET value = value + 1 WHERE key = 'a'")
+	done := make(chan error, 1)
+	go func() {
+		_, err := waiter.Exec(background(t), "INSERT INTO t (key, value) VALUES ('a', '2')")
+		done <- err
+	}()
+	exec(t, holder, "SELECT count(*) FROM t")
+	exec(t, holder, "COMMIT")
+	requireState(t, "23505", <-done)
+}
+
+func TestCancelAndTerminate(t *testing.T) {
+	m := start(t, fast())
+	c, other := connect(t, m, ""), connect(t, m, "")
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.Exec(background(t), "SELECT pg_sleep(60)")
+		done <- err
+	}()
+	eventually(t, func() bool {
+		return text(t, other, "SELECT state FROM pg_stat_activity WHERE pid = $1", c.PgConn().PID()) == "active"
+	})
+	require.NoError(t, c.PgConn().CancelRequest(background(t)))
+	requireState(t, "57014", <-done)
+	exec(t, c, "SELECT 1")
+	exec(t, other, "SELECT pg_terminate_backend($1)", c.PgConn().PID())
+	_, err := c.Exec(background(t), "SELECT 1")
+	requireState(t, "57P01", err)
+}
+
+func TestSessionStateIsDiscarded(t *testing.T) {
+	m := start(t, fast())
+	c, other := connect(t, m, ""), connect(t, m, "")
+	simple := func(query string) ([]*pgconn.Result, error) {
+		return c.PgConn().Exec(background(t), query).ReadAll()
+	}
+	results, err := simple("CREATE TEMP TABLE w (key text primary key, value text); INSERT INTO w (key, value) VALUES ('a', 'b');" +
+		"PREPARE p AS SELECT value FROM w WHERE key = $1; EXECUTE p('a'); SELECT pg_advisory_lock(4); SET a.b TO 'c'; SHOW a.b")
+	require.NoError(t, err)
+	require.Equal(t, "b", string(results[3].Rows[0][0]))
+	require.Equal(t, "c", string(results[6].Rows[0][0]))
+	require.Zero(t, m.Status().Position)
+	blocked := make(chan error, 1)
+	go func() {
+		_, err := other.Exec(background(t), "SELECT pg_advisory_lock(4)")
+		blocked <- err
+	}()
+	exec(t, c, "DISCARD ALL")
+	require.NoError(t, <-blocked)
+	for _, query := range []string{"EXECUTE p('a')", "SHOW a.b"} {
+		_, err = simple(query)
+		require.Error(t, err, query)
+	}
+	require.Equal(t, "SELECT 0", exec(t, c, "SELECT key, value FROM w"))
+
+	_, err = simple("INSERT INTO t (key, value) VALUES ('a', '1'); INSERT INTO t (key, value) VALUES ('a', '1')")
+	requireState(t, "23505", err)
+	require.Empty(t, m.Rows("t"), "statements of one text are one transaction")
+	_, err = simple("BEGIN; SET LOCAL a.b = 'x'; INSERT INTO t (key, value) VALUES ('p1', '1'); INSERT INTO t (key, value) VALUES ('p2', '2'); COMMIT")
+	require.NoError(t, err)
+	require.EqualValues(t, 1, m.Status().Position, "a commit is one log entry")
+	require.Equal(t, "SELECT 2", exec(t, c, "SELECT key, value FROM t WHERE key LIKE 'p%'"))
+	_, err = simple("SHOW a.b")
+	requireState(t, "42704", err)
+}
+
+func TestPipelineAndPartialResults(t *testing.T) {
+	m := start(t, fast())
+	front := connect(t, m, "").PgConn().Frontend()
+	for _, message := range []pgproto3.FrontendMessage{
+		&pgproto3.Parse{Name: "s", Query: "SELECT generate_series(1, 3)"},
+		&pgproto3.Bind{DestinationPortal: "p", PreparedStatement: "s", ResultFormatCodes: []int16{1}},
+		&pgproto3.Execute{Portal: "p", MaxRows: 2},
+		&pgproto3.Execute{Portal: "p"},
+		&pgproto3.Execute{Portal: "none"},
+		&pgproto3.Execute{Portal: "p"},
+		&pgproto3.Sync{},
+	} {
+		front.Send(message)
+	}
+	require.NoError(t, front.Flush())
+	var kinds []string
+	for {
+		message, err := front.Receive()
+		require.NoError(t, err)
+		switch message := message.(type) {
+		case *pgproto3.DataRow:
+			require.Len(t, message.Values[0], 8)
+			kinds = append(kinds, "row")
+		case *pgproto3.PortalSuspended:
+			kinds = append(kinds, "suspended")
+		case *pgproto3.CommandComplete:
+			kinds = append(kinds, string(message.CommandTag))
+		case *pgproto3.ErrorResponse:
+			kinds = append(kinds, message.Code)
+		case *pgproto3.ReadyForQuery:
+			require.Equal(t, []string{"row", "row", "suspended", "row", "SELECT 3", "34000"}, kinds)
+			return
+		}
+	}
+}
+
+func TestLeaveServesForItsGrace(t *testing.T) {
+	m := start(t, fast())
+	c, other := connect(t, m, ""), connect(t, m, "")
+	watched := make(chan error, 1)
+	go func() {
+		_, err := c.Exec(background(t), "SELECT * FROM pulley_watch(0, 60000)")
+		watched <- err
+	}()
+	eventually(t, func() bool {
+		return text(t, other, "SELECT state FROM pg_stat_activity WHERE pid = $1", c.PgConn().PID()) == "active"
+	})
+	left := make(chan error, 1)
+	go func() { left <- m.Leave(200 * time.Millisecond) }()
+	require.NoError(t, <-watched)
+	require.True(t, m.Status().Leaving)
+	exec(t, c, "INSERT INTO t (key, value) VALUES ('a', '1')")
+	require.NoError(t, <-left)
+	_, err := c.Exec(context.Background(), "SELECT 1")
+	requireState(t, "57P01", err)
+}
--- a/io/fakedb/replicate.go
+++ b/io/fakedb/replicate.go
@@ -96,6 +96,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "connecting to the primary at %s", l.address)
 	}
+	defer l.dropPending()
 	defer func() { _ = conn.Close() }()
 	l.conn = conn
 	l.frontend = pgproto3.NewFrontend(conn, conn)
@@ -124,6 +125,15 @@
 	}
 }
 
+// dropPending forgets what the lag keeps back once the link has ended: a primary that dies takes it along.
+func (l *link) dropPending() {
+	l.m.mu.Lock()
+	defer l.m.mu.Unlock()
+	if l.m.upstream.generation == l.generation {
+		l.m.upstream.pending = nil
+	}
+}
+
 func (l *link) extendDeadline() {
 	_ = l.conn.SetDeadline(time.Now().Add(linkTimeout))
 }
--- a/io/fakedb/stop.go
+++ b/io/fakedb/stop.go
@@ -1,6 +1,9 @@
 package fakedb
 
-import "time"
+import (
+	"net"
+	"time"
+)
 
 // farewellTimeout bounds the writing of the last message to a connection.
 const farewellTimeout = time.Second
@@ -27,9 +30,14 @@
 	case <-m.closing:
 	}
 	return m.stop(func() {
-		deadline := time.Now().Add(farewellTimeout)
+		serving := map[net.Conn]struct{}{}
+		for _, s := range m.sessions {
+			serving[s.conn] = struct{}{}
+		}
 		for conn := range m.conns {
-			_ = conn.SetDeadline(deadline)
+			if _, ok := serving[conn]; !ok {
+				_ = conn.Close()
+			}
 		}
 	})
 }
