--- a/cmd/load.go
+++ b/cmd/load.go
@@ -48,6 +48,7 @@
 	flag("write-share", "Share of requests that write.").Default("0.1").Float64Var(&c.settings.WriteShare)
 	flag("timeout", "Longest wait for one answer.").Default("10s").DurationVar(&c.settings.RequestTimeout)
 	flag("request-keys", "Send writes under request keys and repeat unknown ones.").BoolVar(&c.settings.RequestKeys)
+	flag("prepared", "Prepare statements on each connection.").BoolVar(&c.settings.Prepared)
 	flag("seed", "Seed of the requests; 0 draws one.").Uint64Var(&c.settings.Seed)
 	clause.Flag("json", "Print the result as JSON.").BoolVar(&c.json)
 	commands[clause.FullCommand()] = c
--- a/io/check/address.go
+++ b/io/check/address.go
@@ -1,33 +1,52 @@
 package check
 
 import (
+	"math/rand/v2"
 	"net"
+	"strconv"
+	"sync"
 	"testing"
 	"time"
-
-	"github.com/stretchr/testify/require"
 )
 
 // loopback is the IP number that every process of a test listens on.
 const loopback = "127.0.0.1"
 
-// newAddresses returns addresses with ports that were free a moment ago, all different.
+// lowestPort and highestPort lie below the ports that systems give to outgoing connections, which could take a
+// reserved port before its process listens.
+const (
+	lowestPort  = 11_000
+	highestPort = 31_000
+)
+
+// reserved remembers the ports given out, so that processes that have not started yet keep theirs.
+var reserved sync.Map
+
+// newAddresses returns addresses whose ports are free, all different.
 func newAddresses(tb testing.TB, count int) []string {
 	tb.Helper()
 	addresses := make([]string, 0, count)
-	listeners := make([]net.Listener, 0, count)
-	for range count {
-		listener, err := net.Listen("tcp", net.JoinHostPort(loopback, "0"))
-		require.NoError(tb, err)
-		listeners = append(listeners, listener)
-		addresses = append(addresses, listener.Addr().String())
-	}
-	for _, listener := range listeners {
-		require.NoError(tb, listener.Close())
+	for len(addresses) < count {
+		port := lowestPort + rand.IntN(highestPort-lowestPort)
+		address := net.JoinHostPort(loopback, strconv.Itoa(port))
+		if free(address) {
+			addresses = append(addresses, address)
+		}
 	}
 	return addresses
 }
 
+// free reports whether the address can be listened on and was not given out before.
+func free(address string) bool {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = listener.Close()
+	_, taken := reserved.LoadOrStore(address, true)
+	return !taken
+}
+
 // listening reports whether the address accepts connections.
 func listening(address string) bool {
 	connection, err := net.DialTimeout("tcp", address, time.Second)
--- a/io/load/caller.go
+++ b/io/load/caller.go
@@ -23,7 +23,7 @@
 
 func newCaller(s *session, settings Settings, history *audit.History, rec *recorder, number uint64) *caller {
 	random := rand.New(rand.NewPCG(settings.Seed, number))
-	id := identity{customer: settings.Customer, database: s.database, session: s.name}
+	id := identity{customer: settings.Customer, database: s.database, session: s.name, prepared: settings.Prepared}
 	return &caller{
 		session: s, settings: settings, history: history, recorder: rec, random: random,
 		connections: newConnections(id), address: random.IntN(len(settings.Addresses)),
--- a/io/load/connections.go
+++ b/io/load/connections.go
@@ -23,6 +23,8 @@
 	session  types.SessionName
 	// fresh asks for the newest data only.
 	fresh bool
+	// prepared lets the connection prepare statements.
+	prepared bool
 }
 
 // connections holds a caller's connections, one for each instance that it has used.
@@ -77,6 +79,9 @@
 	config.Database = string(id.database)
 	config.ConnectTimeout = connectTimeout
 	config.RuntimeParams["pulley.session"] = string(id.session)
+	if !id.prepared {
+		config.DefaultQueryExecMode = pgx.QueryExecModeExec
+	}
 	if id.fresh {
 		config.RuntimeParams["pulley.max_read_age"] = "0s"
 	}
--- a/io/load/settings.go
+++ b/io/load/settings.go
@@ -29,6 +29,8 @@
 	RequestTimeout time.Duration
 	// RequestKeys sends writes under a request key and repeats those with an unknown outcome.
 	RequestKeys bool
+	// Prepared lets connections prepare each statement once; the preparations count as requests at the instances.
+	Prepared bool
 	// Seed determines the requests and their intended starts.
 	Seed uint64
 	// ReadCounter says how the share of replica reads is learned; nil means that it is not.
