fix: drain connections whose callers never pause

After its first request during a drain a connection is now closed as soon as it is answered. Adds a test that a drain cuts no request, a property test over random message sequences, and a setting for the write timeout with a test of a caller that stops reading.

--- a/io/pgsrv/caller.go
+++ b/io/pgsrv/caller.go
@@ -12,8 +12,6 @@
 )
 
 const (
-	// writeTimeout bounds a write to a caller that does not read.
-	writeTimeout = 30 * time.Second
 	// drainGrace is the time in which a request that is already on its way may still arrive.
 	drainGrace = 50 * time.Millisecond
 	// lingerTimeout bounds the wait for a caller to read the last message.
@@ -64,10 +62,11 @@
 // serve handles messages until the connection ends.
 func (c *caller) serve() error {
 	c.source.patient = true
+	grace := drainGrace
 	for {
 		last := c.server.draining.Load() && c.idle()
 		if last {
-			_ = c.conn.SetReadDeadline(time.Now().Add(drainGrace))
+			_ = c.conn.SetReadDeadline(time.Now().Add(grace))
 		}
 		m, err := c.source.next()
 		if errors.Is(err, errInterrupted) && last {
@@ -81,6 +80,7 @@
 			return err
 		}
 		if last {
+			grace = 0 // a caller that goes on sending must not keep the server from draining
 			_ = c.conn.SetReadDeadline(time.Time{})
 		}
 		if err := c.handle(m); err != nil {
@@ -195,7 +195,7 @@
 	if len(data) == 0 {
 		return nil
 	}
-	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = c.conn.SetWriteDeadline(time.Now().Add(c.server.settings.WriteTimeout))
 	_, err := c.conn.Write(data)
 	if err == nil {
 		return nil
--- a/io/pgsrv/drain_test.go
+++ b/io/pgsrv/drain_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -50,6 +52,41 @@
 	require.Error(t, err)
 }
 
+func TestDrainCutsNoRequest(t *testing.T) {
+	b := newBench(t)
+	var callers sync.WaitGroup
+	var mutex sync.Mutex
+	answered, refused := map[string]bool{}, map[string]bool{}
+	for i := range 40 {
+		conn := b.connect("")
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			for j := 0; ; j++ {
+				text := fmt.Sprintf("INSERT %d-%d", i, j)
+				_, err := conn.Exec(context.Background(), text)
+				mutex.Lock()
+				answered[text], refused[text] = err == nil, err != nil
+				mutex.Unlock()
+				if err != nil {
+					return
+				}
+			}
+		}()
+	}
+	time.Sleep(50 * time.Millisecond)
+	require.NoError(t, b.server.Drain(b.context()))
+	callers.Wait()
+	ran := map[string]bool{}
+	for _, text := range b.record.snapshot().statements {
+		ran[text] = true
+	}
+	for text := range answered {
+		require.NotEqual(t, refused[text], ran[text], text)
+	}
+	require.Greater(t, len(ran), 40)
+}
+
 func TestDrainIsBounded(t *testing.T) {
 	b := newBench(t)
 	open := b.connect("")
--- a/io/pgsrv/failure_test.go
+++ b/io/pgsrv/failure_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"turmericpulley/core/fault"
+	"turmericpulley/core/policy"
 	"turmericpulley/core/types"
 	"turmericpulley/io/pgsrv"
 )
@@ -170,14 +171,25 @@
 	require.Eventually(t, func() bool { return b.server.Counters().CancelsIgnored.Load() == 1 }, patience, time.Millisecond)
 }
 
+func TestSilentOwnerLeavesTheOutcomeUnknown(t *testing.T) {
+	b := newBench(t)
+	b.set(func(b *bench) { b.timeout = policy.Duration(time.Millisecond) })
+	conn := b.connect("")
+	_, err := conn.Exec(b.context(), "HANG")
+	requireState(t, "08007", err)
+	require.EqualValues(t, 1, b.server.Counters().OutcomesUnknown.Load())
+	require.Eventually(t, func() bool { return b.record.snapshot().ended == 1 }, patience, time.Millisecond)
+}
+
 func TestCallerThatLeavesEndsItsTransaction(t *testing.T) {
 	for _, text := range []string{"HANG", "BEGIN"} {
 		b := newBench(t)
-		conn := b.connect("")
-		ctx, cancel := context.WithTimeout(b.context(), 50*time.Millisecond)
-		_, _ = conn.Exec(ctx, text)
-		cancel()
-		_ = conn.PgConn().Conn().Close()
+		conn := b.dial()
+		startUp(t, conn)
+		_, err := conn.Write(encode(t, query(text)))
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return len(b.record.snapshot().statements) == 1 }, patience, time.Millisecond)
+		require.NoError(t, conn.Close())
 		require.Eventually(t, func() bool { return b.record.snapshot().ended == 1 }, patience, time.Millisecond)
 		require.Eventually(t, func() bool { return len(b.observed()) == 1 }, patience, time.Millisecond)
 		require.True(t, b.observed()[0].Abandoned)
@@ -185,7 +197,7 @@
 }
 
 func TestCallerThatDoesNotReadHarmsNobody(t *testing.T) {
-	b := newBench(t)
+	b := newBench(t, func(s *pgsrv.Settings) { s.WriteTimeout = 300 * time.Millisecond })
 	stalled := b.dial()
 	startUp(t, stalled)
 	_, err := stalled.Write(encode(t, query(strings.Repeat("BIG; ", 4))))
@@ -193,4 +205,6 @@
 	require.Eventually(t, func() bool { return len(b.record.snapshot().statements) == 4 }, patience, time.Millisecond)
 	_, err = b.connect("").Exec(b.context(), "INSERT other")
 	require.NoError(t, err)
+	require.Eventually(t, func() bool { return b.server.Counters().SlowCallers.Load() == 1 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return b.record.snapshot().ended == 2 }, patience, time.Millisecond)
 }
--- a/io/pgsrv/harness_test.go
+++ b/io/pgsrv/harness_test.go
@@ -33,6 +33,7 @@
 	refusal error // of Open
 	stale   error // of Fresh
 	groups  []types.GroupID
+	timeout policy.Duration
 	seen    []pgsrv.Transaction
 }
 
@@ -95,7 +96,8 @@
 func (b *bench) Contract(id types.CustomerID) (policy.Contract, types.Revision, bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return policy.Contract{Customer: id, Groups: b.groups}, 7, id == "desk"
+	contract := policy.Contract{Customer: id, Groups: b.groups, StatementTimeout: b.timeout, QueueTimeout: b.timeout}
+	return contract, 7, id == "desk"
 }
 
 func (b *bench) Database(id types.DatabaseID) (policy.Group, policy.Database, bool) {
--- /dev/null
+++ b/io/pgsrv/sequence_test.go
@@ -0,0 +1,104 @@
+package pgsrv_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var scripts = []string{
+	"INSERT x", "BEGIN", "COMMIT", "ROLLBACK", "BAD", "BREAK", "HALF", "TORN", "CROSS", "LEAVE", "REFUSE noPrimary",
+	"COPY x FROM STDIN", "SET pulley.read_only = on", "SHOW pulley.session", "SET x = 1", "",
+}
+
+// drawnBatch is a batch of a random sequence and the rows that may answer it.
+type drawnBatch struct {
+	messages []pgproto3.FrontendMessage
+	rows     map[string]bool
+}
+
+// TestSequencesOfMessages checks that each batch gets exactly one ReadyForQuery and only rows of its own statements.
+func TestSequencesOfMessages(t *testing.T) {
+	b := newBench(t)
+	rapid.Check(t, func(rt *rapid.T) {
+		next, prepared := 0, map[string]bool{}
+		batches := make([]drawnBatch, rapid.IntRange(1, 8).Draw(rt, "batches"))
+		data := make([]byte, 0, 1024)
+		for i := range batches {
+			batches[i] = drawBatch(rt, &next, prepared)
+			data = append(data, encode(t, batches[i].messages...)...)
+		}
+		conn := b.dial()
+		defer func() { _ = conn.Close() }()
+		front := startUp(t, conn)
+		cut := rapid.IntRange(0, len(data)).Draw(rt, "cut")
+		sent := make(chan error, 1)
+		go func() {
+			_, _ = conn.Write(data[:cut])
+			time.Sleep(time.Millisecond)
+			_, err := conn.Write(data[cut:])
+			sent <- err
+		}()
+		for i := range batches {
+			checkAnswer(rt, front, i, batches[i].rows)
+		}
+		require.NoError(rt, <-sent)
+	})
+}
+
+func drawBatch(rt *rapid.T, next *int, prepared map[string]bool) drawnBatch {
+	batch := drawnBatch{rows: map[string]bool{"half": true, "connection": true}}
+	text := func() string {
+		if rapid.Bool().Draw(rt, "select") {
+			*next++
+			batch.rows[fmt.Sprint(*next)] = true
+			return fmt.Sprint("SELECT ", *next)
+		}
+		return rapid.SampledFrom(scripts).Draw(rt, "script")
+	}
+	if rapid.Bool().Draw(rt, "simple") {
+		batch.messages = append(batch.messages, query(text()))
+		return batch
+	}
+	for row := range prepared {
+		batch.rows[row] = true
+	}
+	for range rapid.IntRange(0, 3).Draw(rt, "statements") {
+		name := rapid.SampledFrom([]string{"", "a", "b"}).Draw(rt, "name")
+		steps := []pgproto3.FrontendMessage{
+			&pgproto3.Close{ObjectType: 'S', Name: name}, &pgproto3.Parse{Name: name, Query: text()}, &pgproto3.Describe{ObjectType: 'S', Name: name},
+			&pgproto3.Bind{PreparedStatement: name}, &pgproto3.Describe{ObjectType: 'P'}, &pgproto3.Execute{}, &pgproto3.Flush{},
+		}
+		for _, step := range steps {
+			if rapid.IntRange(0, 9).Draw(rt, "keep") > 1 {
+				batch.messages = append(batch.messages, step)
+			}
+		}
+	}
+	batch.messages = append(batch.messages, &pgproto3.Sync{})
+	for row := range batch.rows {
+		prepared[row] = true
+	}
+	return batch
+}
+
+func checkAnswer(rt *rapid.T, front *pgproto3.Frontend, batch int, rows map[string]bool) {
+	for {
+		m, err := front.Receive()
+		require.NoError(rt, err, "batch %d", batch)
+		switch m := m.(type) {
+		case *pgproto3.DataRow:
+			value := string(m.Values[0])
+			if len(value) > 10 {
+				value = value[:10] // the name of a connection's own session
+			}
+			require.Contains(rt, rows, value, "batch %d", batch)
+		case *pgproto3.ReadyForQuery:
+			return
+		}
+	}
+}
--- a/io/pgsrv/settings.go
+++ b/io/pgsrv/settings.go
@@ -1,6 +1,8 @@
 package pgsrv
 
 import (
+	"time"
+
 	"github.com/hashicorp/go-hclog"
 
 	"turmericpulley/core/types"
@@ -13,6 +15,8 @@
 	DefaultMaxConnections = 16384
 	// DefaultServerVersion is the version of PostgreSQL that callers are told.
 	DefaultServerVersion = "16.0"
+	// DefaultWriteTimeout bounds a write to a caller that does not read.
+	DefaultWriteTimeout = 30 * time.Second
 
 	maxConnectionNumbers = 1<<16 - 1 - maxRefusedAtOnce
 )
@@ -33,6 +37,8 @@
 	MaxMessageBytes int
 	// MaxConnections bounds the open connections of callers.
 	MaxConnections int
+	// WriteTimeout bounds a write to a caller that does not read.
+	WriteTimeout time.Duration
 	// ServerVersion is told to callers as server_version.
 	ServerVersion string
 }
@@ -47,6 +53,9 @@
 	if s.MaxConnections > maxConnectionNumbers {
 		s.MaxConnections = maxConnectionNumbers
 	}
+	if s.WriteTimeout <= 0 {
+		s.WriteTimeout = DefaultWriteTimeout
+	}
 	if s.ServerVersion == "" {
 		s.ServerVersion = DefaultServerVersion
 	}
