test: faults under load with lagging replicas

Cause: with replicas that had received everything, an owner that did not wait for a majority passed. The stand-in's lag now loses what a dead primary had not sent. Seen failing first: without the wait for a majority the three cases that kill the primary report lost writes; without session floors all cases report stale reads.

--- a/io/server/failover_test.go
+++ b/io/server/failover_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"turmericpulley/core/types"
+	"turmericpulley/io/fakedb"
 	"turmericpulley/io/fakekv"
 	"turmericpulley/io/load"
 )
@@ -43,7 +44,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			f := startFleet(t, 4, nil)
+			f := startFleet(t, 4, withLag)
 			f.connect(t, 0, "probe")
 			f.waitForOwner(t)
 			timer := time.AfterFunc(faultDelay, func() { provoke(t, f) })
@@ -79,3 +80,9 @@
 	}
 	return all
 }
+
+// withLag keeps replicas behind, so that a write that is acknowledged too early can be lost and a read be stale.
+func withLag(s *fakedb.Settings) {
+	s.ReceiveLag = 40 * time.Millisecond
+	s.ApplyLag = 50 * time.Millisecond
+}
--- a/io/server/fleet_test.go
+++ b/io/server/fleet_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -116,12 +118,25 @@
 	return string(text)
 }
 
+// nextPort counts through ports that the system does not give to outgoing connections.
+var nextPort atomic.Int32
+
+const firstPort, portCount = 20000, 12000
+
+// freeAddress returns an address that no other test of this process gets.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for range portCount {
+		port := firstPort + (os.Getpid()*64+int(nextPort.Add(1)))%portCount
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		require.NoError(t, l.Close())
+		return l.Addr().String()
+	}
+	require.FailNow(t, "no port is free")
+	return ""
 }
 
 // owner returns the instance that owns the database.
