fix: remember the first term, stream long results, survive a failed accept

A member killed before its first fence came back without a term and could have been fenced to one already used. Long results filled memory and a failed accept ended the listener.

--- a/io/fakedb/accept.go
+++ b/io/fakedb/accept.go
@@ -1,13 +1,24 @@
 package fakedb
 
-import "net"
+import (
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// acceptPause is the wait after a connection could not be accepted.
+const acceptPause = 10 * time.Millisecond
 
 // accept serves connections until the listener closes.
 func (m *Member) accept() {
 	for {
 		conn, err := m.listener.Accept()
 		if err != nil {
-			return
+			if errors.Is(err, net.ErrClosed) || !m.pauseAccepting() {
+				return
+			}
+			continue
 		}
 		if !m.track(conn) {
 			_ = conn.Close()
@@ -21,6 +32,18 @@
 	}
 }
 
+// pauseAccepting waits a little and reports whether the member is still open.
+func (m *Member) pauseAccepting() bool {
+	timer := time.NewTimer(acceptPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-m.closing:
+		return false
+	}
+}
+
 // track registers a connection so that Close ends it; the caller starts the goroutine that work counts.
 func (m *Member) track(conn net.Conn) bool {
 	m.mu.Lock()
--- a/io/fakedb/extended.go
+++ b/io/fakedb/extended.go
@@ -124,9 +124,7 @@
 	if limit := int(message.MaxRows); limit > 0 && len(rows) > limit {
 		rows = rows[:limit]
 	}
-	for _, row := range rows {
-		s.backend.Send(encodeRow(p.result.columns, row, p.formats))
-	}
+	s.sendRows(p.result.columns, rows, p.formats)
 	p.sent += len(rows)
 	if p.sent < len(p.result.rows) {
 		s.backend.Send(&pgproto3.PortalSuspended{})
@@ -148,6 +146,9 @@
 // sync ends a group of messages: outside a block it commits.
 func (s *session) sync() error {
 	s.skipping = false
+	if !s.inBlock() {
+		s.portals = map[string]*portal{}
+	}
 	return s.commitImplicit()
 }
 
--- a/io/fakedb/loop.go
+++ b/io/fakedb/loop.go
@@ -10,6 +10,9 @@
 // errGoodbye reports that the caller ended the session.
 var errGoodbye = errors.New("the caller ended the session")
 
+// rowsPerFlush is the number of rows after which a result is written out.
+const rowsPerFlush = 256
+
 // loop answers messages until the session ends.
 func (s *session) loop() {
 	for {
@@ -111,12 +114,23 @@
 	if r.columns != nil {
 		s.backend.Send(describe(r.columns, nil))
 	}
-	for _, row := range r.rows {
-		s.backend.Send(encodeRow(r.columns, row, nil))
-	}
+	s.sendRows(r.columns, r.rows, nil)
 	s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(r.tag)})
 }
 
+// sendRows sends rows and writes them out now and then, so that a long result waits for its reader.
+func (s *session) sendRows(columns []column, rows []row, formats []int16) {
+	for i, row := range rows {
+		s.backend.Send(encodeRow(columns, row, formats))
+		if (i+1)%rowsPerFlush != 0 {
+			continue
+		}
+		if s.backend.Flush() != nil {
+			return
+		}
+	}
+}
+
 func (s *session) sendNotice(r *result) {
 	if r.notice == nil {
 		return
--- a/io/fakedb/member.go
+++ b/io/fakedb/member.go
@@ -66,7 +66,11 @@
 	}
 	m := newMember(settings, listener)
 	m.journal = kept
-	m.restore(found)
+	if err := m.restore(found); err != nil {
+		_ = kept.close()
+		_ = listener.Close()
+		return nil, err
+	}
 	m.work.Add(3)
 	go func() {
 		defer m.work.Done()
@@ -102,21 +106,21 @@
 	}
 }
 
-// restore takes over what the state file held; without any, the settings decide.
-func (m *Member) restore(found memory) {
-	if !found.known {
-		m.role = m.settings.Role
-		m.promises = promises{Term: m.settings.Term}
-		if m.role == Replica {
-			m.upstream.address = m.settings.Primary
-		}
-		return
+// restore takes over what the state file held; without any, the settings decide and are written down.
+func (m *Member) restore(found memory) error {
+	if found.known {
+		m.role = Replica
+		m.promises = found.promises
+		m.log = found.log
+		m.applied = found.log.last()
+		m.tables = rebuild(found.log.entries)
+		return nil
+	}
+	m.role = m.settings.Role
+	if m.role == Replica {
+		m.upstream.address = m.settings.Primary
 	}
-	m.role = Replica
-	m.promises = found.promises
-	m.log = found.log
-	m.applied = found.log.last()
-	m.tables = rebuild(found.log.entries)
+	return m.remember(promises{Term: m.settings.Term})
 }
 
 // Address returns the address that others use.
