feat: bound frames and statements, name the request in errors

A batch of several large messages went to the owner as one frame, above what the peers' transport takes; it now goes in pieces of whole messages. Refusals keep the outcome that the owner states, errors name the request's trail, refused transactions have a request id of their own, and a connection holds at most 4096 prepared statements. go test -race -count=2 ./io/pgsrv passes.

--- a/io/pgsrv/exchange.go
+++ b/io/pgsrv/exchange.go
@@ -62,8 +62,7 @@
 	if f, proceed := x.expect(a, p); !proceed {
 		return f
 	}
-	frame := &wire.Frame{RequestId: uint64(x.requestID), Payload: p.payload, BatchEnd: p.end}
-	if err := x.transmit(frame); err != nil {
+	if err := x.transmitAll(pieces(p.payload, submitBytes), p.end); err != nil {
 		x.fail(fault.New(fault.OutcomeUnknown, "sending to the owner failed: "+err.Error()))
 		x.hangUp()
 	}
@@ -90,6 +89,17 @@
 	return nil, !a.failed
 }
 
+func (x *exchange) transmitAll(payloads [][]byte, end bool) error {
+	for i, payload := range payloads {
+		last := i == len(payloads)-1
+		frame := &wire.Frame{RequestId: uint64(x.requestID), Payload: payload, BatchEnd: end && last}
+		if err := x.transmit(frame); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (x *exchange) transmit(frame *wire.Frame) error {
 	x.sending.Lock()
 	defer x.sending.Unlock()
@@ -115,7 +125,7 @@
 // fail ends the transaction with a fault and tells the caller when it waits for an answer.
 func (x *exchange) fail(f *fault.Fault) {
 	var r reply
-	r.fault(severityError, f)
+	r.fault(severityError, f, x.caller.server.where(x.requestID))
 	x.end(f, r)
 }
 
--- a/io/pgsrv/extended.go
+++ b/io/pgsrv/extended.go
@@ -20,6 +20,9 @@
 	if len(c.batch.payload) > submitBytes {
 		return c.submit(false)
 	}
+	if len(c.batch.local.data) > submitBytes {
+		return c.flush()
+	}
 	return nil
 }
 
@@ -48,6 +51,10 @@
 		c.fail(stateDuplicateStatement, fmt.Sprintf("failed: prepared statement %q already exists; close it first", p.Name))
 		return nil
 	}
+	if len(c.statements) >= MaxStatements || len(c.batch.defined) >= MaxStatements {
+		c.fail(stateLimitExceeded, fmt.Sprintf("not run: the connection has %d prepared statements; close some first", MaxStatements))
+		return nil
+	}
 	s := &statement{text: p.Query, types: append([]uint32(nil), p.ParameterOIDs...), command: recognise(p.Query)}
 	if cmd := c.commandOf(s.text, s.command); cmd != nil {
 		c.parseLocal(p.Name, s, cmd)
--- a/io/pgsrv/failure_test.go
+++ b/io/pgsrv/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -91,6 +92,16 @@
 	}
 }
 
+func TestRefusalMayLeaveTheOutcomeUnknown(t *testing.T) {
+	b := newBench(t)
+	_, err := b.connect("").Exec(b.context(), "REFUSE? statementTimeout")
+	require.Contains(t, requireState(t, "57014", err), "outcome unknown")
+	require.EqualValues(t, 1, b.server.Counters().OutcomesUnknown.Load())
+	var failure *pgconn.PgError
+	require.ErrorAs(t, err, &failure)
+	require.Equal(t, "request "+strconv.FormatUint(b.lastBegin().RequestId, 16)+" at instance slo-a-1", failure.Where)
+}
+
 func TestLostBlockStaysFailedUntilRollback(t *testing.T) {
 	for _, text := range []string{"BREAK", "REFUSE leaseLost", "COPY orders FROM STDIN"} {
 		for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeSimpleProtocol, pgx.QueryExecModeCacheStatement} {
--- a/io/pgsrv/open.go
+++ b/io/pgsrv/open.go
@@ -25,12 +25,14 @@
 	if runs {
 		key = c.session.takeRequestKey()
 	}
+	b.requestID = types.RequestID(c.server.nextRequestID())
 	contract, revision, f := c.admit()
 	if f != nil {
-		c.reportRefused(f, b.start)
+		c.reportRefused(f, b)
 		return nil, f
 	}
 	begin := c.describeBegin(contract, revision)
+	begin.RequestId = uint64(b.requestID)
 	begin.RequestKey = string(key)
 	if runs && b.first != "" {
 		begin.StatementHash = xxhash.Sum64String(b.first)
@@ -40,7 +42,7 @@
 	stream, err := c.server.settings.Router.Open(ctx, begin)
 	if err != nil {
 		f := asFault(err, fault.NoOwner)
-		c.reportRefused(f, b.start)
+		c.reportRefused(f, b)
 		return nil, f
 	}
 	c.server.counters.Transactions.Add(1)
@@ -57,7 +59,6 @@
 
 func (c *caller) describeBegin(contract policy.Contract, revision types.Revision) *wire.Begin {
 	begin := &wire.Begin{
-		RequestId:        c.server.nextRequestID(),
 		Database:         string(c.database),
 		Customer:         string(c.customer),
 		Session:          string(c.session.name),
--- a/io/pgsrv/owner_test.go
+++ b/io/pgsrv/owner_test.go
@@ -65,6 +65,7 @@
 	named      []string
 	ended      int
 	cancels    int
+	largest    int // payload
 }
 
 func (r *record) add(f func(*record)) {
@@ -76,7 +77,7 @@
 func (r *record) snapshot() record {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return record{begins: r.begins, statements: r.statements, named: r.named, ended: r.ended, cancels: r.cancels}
+	return record{begins: r.begins, statements: r.statements, named: r.named, ended: r.ended, cancels: r.cancels, largest: r.largest}
 }
 
 func (o *owner) run() {
@@ -118,6 +119,7 @@
 }
 
 func (o *owner) batch(frame *wire.Frame, frames chan *wire.Frame) {
+	o.record.add(func(r *record) { r.largest = max(r.largest, len(frame.Payload)) })
 	front := pgproto3.NewBackend(strings.NewReader(string(frame.Payload)), nil)
 	for !o.stopped {
 		m, err := front.Receive()
@@ -275,9 +277,9 @@
 		o.complete("CROSS")
 		o.ready()
 		o.stopped = true
-	case "REFUSE":
+	case "REFUSE", "REFUSE?":
 		o.out = nil
-		o.flush(&wire.Outcome{Refusal: &wire.Refusal{Kind: rest, Detail: "scripted"}})
+		o.flush(&wire.Outcome{Refusal: &wire.Refusal{Kind: rest, Detail: "scripted", Unknown: word == "REFUSE?"}})
 		o.stopped = true
 	case "HANG":
 		select {
--- a/io/pgsrv/raw_test.go
+++ b/io/pgsrv/raw_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
 
@@ -116,6 +117,12 @@
 	require.Equal(t, text[7:], value)
 	_, err := conn.Exec(b.context(), text)
 	require.NoError(t, err)
+	batch := &pgx.Batch{}
+	for range 6 {
+		batch.Queue("INSERT $1", text)
+	}
+	require.NoError(t, conn.SendBatch(b.context(), batch).Close())
+	require.Less(t, b.record.snapshot().largest, 5<<20, "a batch goes in frames that the peers' transport takes")
 }
 
 func TestPipelinedQueriesAreAnsweredInOrder(t *testing.T) {
--- a/io/pgsrv/relay.go
+++ b/io/pgsrv/relay.go
@@ -36,7 +36,7 @@
 func (x *exchange) accept(frame *wire.Frame) bool {
 	x.noteOutcome(frame.GetOutcome())
 	if refusal := frame.GetOutcome().GetRefusal(); refusal != nil {
-		x.fail(fault.New(fault.Kind(refusal.GetKind()), refusal.GetDetail()))
+		x.fail(asRefused(refusal))
 		return false
 	}
 	status, err := x.deliver(frame.GetPayload())
@@ -52,6 +52,15 @@
 	return !x.hasEnded()
 }
 
+// asRefused returns the fault that a refusal tells of.
+func asRefused(refusal *wire.Refusal) *fault.Fault {
+	f := fault.New(fault.Kind(refusal.GetKind()), refusal.GetDetail())
+	if refusal.GetUnknown() {
+		f.Outcome = fault.Unknown
+	}
+	return f
+}
+
 func (x *exchange) noteOutcome(outcome *wire.Outcome) {
 	if outcome == nil {
 		return
--- a/io/pgsrv/reply.go
+++ b/io/pgsrv/reply.go
@@ -25,8 +25,8 @@
 	r.add(&pgproto3.ErrorResponse{Severity: severity, SeverityUnlocalized: severity, Code: state, Message: text})
 }
 
-// fault appends a typed error.
-func (r *reply) fault(severity string, f *fault.Fault) {
+// fault appends a typed error and says where the request can be followed.
+func (r *reply) fault(severity string, f *fault.Fault, where string) {
 	r.add(&pgproto3.ErrorResponse{
 		Severity:            severity,
 		SeverityUnlocalized: severity,
@@ -34,6 +34,7 @@
 		Message:             f.Error(),
 		Detail:              f.Detail,
 		Hint:                f.Remedy(),
+		Where:               where,
 	})
 }
 
--- a/io/pgsrv/server.go
+++ b/io/pgsrv/server.go
@@ -13,6 +13,7 @@
 
 	"turmericpulley/core/fault"
 	"turmericpulley/core/policy"
+	"turmericpulley/core/trace"
 	"turmericpulley/core/types"
 )
 
@@ -192,7 +193,7 @@
 	if f == nil {
 		return
 	}
-	if f.Kind == fault.OutcomeUnknown {
+	if f.Outcome == fault.Unknown {
 		s.counters.OutcomesUnknown.Add(1)
 		return
 	}
@@ -202,6 +203,14 @@
 // nextRequestID returns an id that no other request of this run has.
 func (s *Server) nextRequestID() uint64 { return s.requestID | s.requests.Add(1)&(1<<requestIDShift-1) }
 
+// where tells the reader of an error how to find the request's trail.
+func (s *Server) where(id types.RequestID) string {
+	if id == 0 {
+		return ""
+	}
+	return "request " + trace.ID(id).String() + " at instance " + string(s.settings.InstanceID)
+}
+
 func randomNumber() uint32 {
 	var data [4]byte
 	_, _ = rand.Read(data[:]) // never fails
--- a/io/pgsrv/startup.go
+++ b/io/pgsrv/startup.go
@@ -88,7 +88,7 @@
 	c.server.counters.ConnectionsRefused.Add(1)
 	c.server.counters.Refusals.Add(f.Kind)
 	var r reply
-	r.fault(severityFatal, f)
+	r.fault(severityFatal, f, "")
 	c.sendLast(r)
 }
 
--- a/io/pgsrv/statement.go
+++ b/io/pgsrv/statement.go
@@ -1,5 +1,8 @@
 package pgsrv
 
+// MaxStatements bounds the prepared statements of one connection.
+const MaxStatements = 4096
+
 // statement is a prepared statement that a connection keeps for its caller.
 type statement struct {
 	text      string
--- a/io/pgsrv/submit.go
+++ b/io/pgsrv/submit.go
@@ -38,7 +38,7 @@
 // refuse answers a batch that was not sent.
 func (c *caller) refuse(f *fault.Fault, end bool) error {
 	c.server.count(f)
-	c.failBatch(func(r *reply) { r.fault(severityError, f) })
+	c.failBatch(func(r *reply) { r.fault(severityError, f, c.server.where(c.batch.requestID)) })
 	if end {
 		return c.conclude()
 	}
@@ -74,9 +74,9 @@
 }
 
 // reportRefused tells the observer about a transaction that was not opened.
-func (c *caller) reportRefused(f *fault.Fault, start time.Time) {
-	t := c.describe(0, start)
+func (c *caller) reportRefused(f *fault.Fault, b *batch) {
+	t := c.describe(b.requestID, b.start)
 	t.Fault = f
-	t.Latency = time.Since(start)
+	t.Latency = time.Since(b.start)
 	c.server.settings.Observe(t)
 }
