--- a/io/fakedb/replication_test.go
+++ b/io/fakedb/replication_test.go
@@ -179,3 +179,22 @@
 	eventually(t, func() bool { return replica.Status().Applied == 3 && replica.Status().Streaming })
 	require.Equal(t, restarted.Rows("t"), replica.Rows("t"))
 }
+
+func TestEntriesOfOlderTermsCountWithOneOfTheOwn(t *testing.T) {
+	const lag = 500 * time.Millisecond
+	group := startGroup(t, func(s *fakedb.Settings) { s.ReceiveLag = time.Hour })
+	put(t, group[0], "old")
+	<-time.After(lag)
+	for _, m := range group {
+		controlf(t, m, "pulley_fence(0, 2)")
+	}
+	group[1].SetReceiveLag(lag)
+	controlf(t, group[0], "pulley_promote(0, 2)")
+	controlf(t, group[1], "pulley_follow(0, 2, '%s')", group[0].Address())
+	eventually(t, func() bool { return group[1].Status().Position == 1 })
+	require.Never(t, func() bool {
+		committed := group[0].Status().Committed
+		return committed == 1
+	}, lag/2, tick)
+	eventually(t, func() bool { return group[0].Status().Committed == 2 })
+}
