--- /dev/null
+++ b/core/quorum/main_test.go
@@ -0,0 +1,9 @@
+package quorum_test
+
+import (
+	"testing"
+
+	"turmericpulley/core/tests"
+)
+
+func TestMain(m *testing.M) { tests.Run(m, 3000) }
