feat: failure handling of the peers service proved against faults

Seen failing first: a busy session was taken for silent and closed with its 50 transactions (now any byte counts as a sign of life, and the keeper replaces yamux's keep-alive); a leaving instance was never removed by its own word (its removal was dropped for want of reports); a new process listened on a port taken meanwhile (port zero is now allowed).

--- a/io/peers/conn.go
+++ b/io/peers/conn.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"net"
+	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -24,8 +26,18 @@
 	net.Conn
 	counters *Counters
 	pending  []byte
+	opened   time.Time
+	// heard is the time from the opening to the last byte received.
+	heard atomic.Int64
 }
 
+func newConn(opened net.Conn, counters *Counters) *conn {
+	return &conn{Conn: opened, counters: counters, opened: time.Now()}
+}
+
+// lastHeard returns when the last byte arrived, or when the connection was opened.
+func (c *conn) lastHeard() time.Time { return c.opened.Add(time.Duration(c.heard.Load())) }
+
 // Write holds back a header that is always followed by more and sends everything else; yamux writes from one goroutine.
 func (c *conn) Write(data []byte) (int, error) {
 	if isLeading(data) && len(c.pending) < maxHeldHeaderBytes {
@@ -47,10 +59,13 @@
 	return len(data), nil
 }
 
-// Read counts the bytes that arrive.
+// Read counts the bytes that arrive and notes when.
 func (c *conn) Read(data []byte) (int, error) {
 	received, err := c.Conn.Read(data)
-	c.counters.BytesReceived.Add(uint64(received))
+	if received > 0 {
+		c.counters.BytesReceived.Add(uint64(received))
+		c.heard.Store(int64(time.Since(c.opened)))
+	}
 	return received, err
 }
 
--- a/io/peers/counters.go
+++ b/io/peers/counters.go
@@ -16,7 +16,7 @@
 	Suspicions atomic.Uint64
 	// Reports counts failure reports received.
 	Reports atomic.Uint64
-	// Removals counts instances that this one removed from the membership after a failure.
+	// Removals counts instances that this one took out of the membership, after a failure or at their wish.
 	Removals atomic.Uint64
 	// Rejoins counts attempts to join or to join again.
 	Rejoins atomic.Uint64
@@ -32,6 +32,8 @@
 	SessionsDialled atomic.Uint64
 	// SessionsReplaced counts silent connections that were replaced because a fresh one worked.
 	SessionsReplaced atomic.Uint64
+	// SessionsSilent counts connections in use that were closed because nothing arrived any more.
+	SessionsSilent atomic.Uint64
 	// ProtocolViolations counts malformed or oversized messages.
 	ProtocolViolations atomic.Uint64
 	// RequestMismatches counts frames that carried the id of another request.
--- /dev/null
+++ b/io/peers/failure_test.go
@@ -0,0 +1,218 @@
+package peers_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"turmericpulley/core/fault"
+	"turmericpulley/core/fleet"
+	"turmericpulley/core/types"
+	"turmericpulley/io/peers"
+)
+
+// stop ends a service without a word, as a crash does.
+func (c *cluster) stop(index int) {
+	c.services[index].Close()
+	c.services = append(c.services[:index:index], c.services[index+1:]...)
+}
+
+func (c *cluster) total(count func(*peers.Counters) uint64) uint64 {
+	total := uint64(0)
+	for _, s := range c.services {
+		total += count(s.Counters())
+	}
+	return total
+}
+
+func (c *cluster) cutOneWay(from, to *peers.Service, cut bool) {
+	c.hop(from.Self().ID, to.Self().PeerAddress).cut(cut)
+}
+
+func (c *cluster) isolate(one *peers.Service, cut bool) {
+	for _, other := range c.services {
+		if other != one {
+			c.cutOneWay(one, other, cut)
+			c.cutOneWay(other, one, cut)
+		}
+	}
+}
+
+func removals(c *peers.Counters) uint64 { return c.Removals.Load() }
+
+func isolated(s *peers.Service) bool {
+	f := fault.From(s.Fresh())
+	return f != nil && f.Kind == fault.Isolated
+}
+
+func TestCrashedInstancesAreRemoved(t *testing.T) {
+	c := newCluster(t, 6)
+	before := c.store.written()
+	started := time.Now()
+	c.stop(5)
+	c.stop(2)
+	c.settled(4)
+	t.Logf("removed after %s with %d writes", time.Since(started), c.store.written()-before)
+	require.Less(t, time.Since(started), 4*time.Second)
+	require.LessOrEqual(t, c.store.written()-before, 2)
+}
+
+func TestLastTwoRemoveEachOther(t *testing.T) {
+	c := newCluster(t, 2)
+	c.stop(0)
+	c.settled(1)
+}
+
+func TestLeavingInstanceIsMarkedThenRemoved(t *testing.T) {
+	c := newCluster(t, 4)
+	leaving := c.services[1]
+	ctx, cancel := context.WithTimeout(t.Context(), soon)
+	defer cancel()
+	require.NoError(t, leaving.Leave(ctx))
+	require.Len(t, leaving.Membership().Live(), 3, "known at once to the one that leaves")
+	for _, s := range c.services {
+		require.Eventually(t, func() bool { return len(s.Membership().Live()) == 3 }, soon, often)
+		require.Len(t, s.Membership().Instances, 4)
+	}
+	c.stop(1)
+	value, revision, _, err := c.store.Get(t.Context(), "instances/region")
+	require.NoError(t, err)
+	members, err := fleet.Decode(value, revision)
+	require.NoError(t, err)
+	require.Len(t, members.Instances, 3, "removed by its own word before it closed")
+	c.settled(3)
+}
+
+func TestAsymmetricCutDoesNotRemoveAHealthyInstance(t *testing.T) {
+	c := newCluster(t, 5)
+	from, to := c.services[0], c.services[1]
+	c.cutOneWay(from, to, true)
+	require.Eventually(t, func() bool { return from.Suspected(to.Self().ID) }, soon, often)
+	require.False(t, from.Probe(t.Context(), to.Self().ID))
+	before := c.store.written()
+	time.Sleep(4 * time.Second)
+	require.Equal(t, before, c.store.written())
+	require.Zero(t, c.total(removals))
+	c.cutOneWay(from, to, false)
+	require.Eventually(t, func() bool { return !from.Suspected(to.Self().ID) }, soon, often)
+}
+
+func TestIsolatedInstanceStopsAndReturns(t *testing.T) {
+	c := newCluster(t, 5)
+	one := c.services[3]
+	old := one.Self().Incarnation
+	c.isolate(one, true)
+	require.Eventually(t, func() bool { return len(c.services[0].Membership().Instances) == 4 }, soon, often)
+	require.False(t, isolated(c.services[0]))
+	c.isolate(one, false)
+	c.settled(5)
+	require.Less(t, old, one.Self().Incarnation, "joined again as a new life")
+}
+
+func TestOutageOfTheStoreIsSurvivedWithoutAStampede(t *testing.T) {
+	c := newCluster(t, 6)
+	revision := c.put(contractKey, contractText(4))
+	require.Eventually(t, func() bool { return c.holdEverywhere(revision) }, soon, often)
+	c.store.setDown(true)
+	c.store.takeCalls()
+	c.stop(5)
+	time.Sleep(5 * time.Second)
+	for _, s := range c.services {
+		require.NoError(t, s.Fresh(), "a majority carries on")
+		require.Len(t, s.Membership().Instances, 6)
+	}
+	during := c.store.takeCalls()
+	c.store.setDown(false)
+	c.settled(5)
+	time.Sleep(time.Second)
+	after := c.store.takeCalls()
+	t.Logf("calls in 5 s of outage: %d, after it: %d", during, after)
+	// Two watchers in each of two data centres follow three prefixes and pause half a second at least.
+	require.Less(t, during, 2*2*3*(4+10))
+	require.Less(t, after, 60)
+}
+
+func TestStoreAndPeersLostTogether(t *testing.T) {
+	c := newCluster(t, 5)
+	c.store.setDown(true)
+	one := c.services[0]
+	c.isolate(one, true)
+	started := time.Now()
+	require.Eventually(t, func() bool { return isolated(one) }, soon, often)
+	t.Logf("isolated after %s", time.Since(started))
+	require.Less(t, time.Since(started), 2200*time.Millisecond)
+	for _, s := range c.services[1:] {
+		require.NoError(t, s.Fresh())
+	}
+	c.store.setDown(false)
+	c.isolate(one, false)
+	c.settled(5)
+}
+
+func TestLostAnswersDoNotDoubleChanges(t *testing.T) {
+	c := newCluster(t, 3)
+	c.store.mu.Lock()
+	c.store.loseAnswers = 1
+	c.store.mu.Unlock()
+	c.start(3)
+	c.settled(4)
+}
+
+func TestRestartUnderTheSameIDReplacesTheOldLife(t *testing.T) {
+	c := newCluster(t, 3)
+	old := c.services[1].Self().Incarnation
+	c.stop(1)
+	time.Sleep(5 * time.Millisecond)
+	c.start(1)
+	require.Eventually(t, func() bool {
+		found, _ := c.services[0].Membership().Find("i01")
+		return found.Incarnation > old
+	}, soon, often)
+	c.settled(3)
+}
+
+func TestWholeFleetReplacedAtOnce(t *testing.T) {
+	c := newCluster(t, 4)
+	for range 4 {
+		c.stop(0)
+	}
+	for index := 10; index < 13; index++ {
+		c.start(index)
+	}
+	c.settled(3)
+}
+
+func (c *cluster) holdEverywhere(revision types.Revision) bool {
+	for _, s := range c.services {
+		if !s.Book().InForce(contractKey, revision) {
+			return false
+		}
+	}
+	return true
+}
+
+func TestManyJoinsAreWrittenTogether(t *testing.T) {
+	c := newCluster(t, 1)
+	before := c.store.written()
+	for index := 1; index < 20; index++ {
+		c.start(index)
+	}
+	c.settled(20)
+	t.Logf("19 joins took %d writes", c.store.written()-before)
+	require.Less(t, c.store.written()-before, 10)
+}
+
+func TestSilentSessionIsReplacedWhileFreshOnesWork(t *testing.T) {
+	c := newCluster(t, 3)
+	from, to := c.services[0], c.services[1]
+	replaced := from.Counters().SessionsReplaced.Load()
+	c.hop(from.Self().ID, to.Self().PeerAddress).silence()
+	started := time.Now()
+	require.Eventually(t, func() bool { return from.Counters().SessionsReplaced.Load() > replaced }, soon, often)
+	t.Logf("replaced after %s", time.Since(started))
+	require.Less(t, time.Since(started), 3*time.Second)
+	require.False(t, from.Suspected(to.Self().ID))
+	require.Zero(t, c.total(removals))
+}
--- a/io/peers/fleet_test.go
+++ b/io/peers/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -25,6 +24,12 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
+// path leads from an instance to an address.
+type path struct {
+	from types.InstanceID
+	to   string
+}
+
 // cluster runs several services in one process.
 type cluster struct {
 	t        *testing.T
@@ -32,19 +37,22 @@
 	services []*peers.Service
 
 	mu sync.Mutex
-	// cut holds pairs of instances, the dialling one first, whose connections fail.
-	cut map[string]bool
+	// hops holds what carries connections.
+	hops map[path]*hop
 }
 
 func newCluster(t *testing.T, size int) *cluster {
 	t.Helper()
-	c := &cluster{t: t, store: newMemoryStore(), cut: map[string]bool{}}
+	c := &cluster{t: t, store: newMemoryStore(), hops: map[path]*hop{}}
 	t.Cleanup(func() {
 		closing := sync.WaitGroup{}
 		for _, s := range c.services {
 			closing.Go(s.Close)
 		}
 		closing.Wait()
+		for _, h := range c.hops {
+			h.close()
+		}
 	})
 	for index := range size {
 		c.start(index)
@@ -58,12 +66,12 @@
 	c.t.Helper()
 	self := fleet.Instance{
 		ID:          types.InstanceID(fmt.Sprintf("i%02d", index)),
-		PeerAddress: freeAddress(c.t),
+		PeerAddress: "127.0.0.1:0",
 		DataCentre:  types.DataCentre(fmt.Sprintf("dc-%d", index%2)),
 	}
 	s, err := peers.New(peers.Settings{
 		Self: self, Region: "region", Store: c.store,
-		Links: func(address string) string { return c.dialled(self.PeerAddress, address) },
+		Links: func(address string) string { return c.hop(self.ID, address).address() },
 	})
 	require.NoError(c.t, err)
 	c.services = append(c.services, s)
@@ -83,14 +91,15 @@
 	}, 2*soon, often)
 }
 
-// dialled returns an address that refuses connections when the pair is cut.
-func (c *cluster) dialled(from, to string) string {
+// hop returns what carries the connections of the instance to the address.
+func (c *cluster) hop(from types.InstanceID, to string) *hop {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.cut[from+to] {
-		return "127.0.0.1:1"
+	pair := path{from, to}
+	if c.hops[pair] == nil {
+		c.hops[pair] = newHop(c.t, to)
 	}
-	return to
+	return c.hops[pair]
 }
 
 func (c *cluster) put(key, value string) types.Revision {
@@ -102,22 +111,14 @@
 	return revision
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
-func contract(connections int) string {
+func contractText(connections int) string {
 	return fmt.Sprintf(`{"customer":"desk","connections":%d}`, connections)
 }
 
 func TestInstancesJoinAndHoldDocuments(t *testing.T) {
 	c := newCluster(t, 5)
 	started := time.Now()
-	revision := c.put(contractKey, contract(3))
+	revision := c.put(contractKey, contractText(3))
 	for _, s := range c.services {
 		require.Eventually(t, func() bool {
 			held, at, found := s.Book().Contract("desk")
--- a/io/peers/flush.go
+++ b/io/peers/flush.go
@@ -59,7 +59,7 @@
 			one.finish(nil)
 		case !one.expires.IsZero() && !now.Before(one.expires):
 			one.finish(fault.New(fault.StoreUnavailable, "the membership could not be written in time"))
-		case !p.stands(one.change, now):
+		case one.expires.IsZero() && !p.stands(one.change, now):
 		default:
 			kept = append(kept, one)
 		}
@@ -68,7 +68,7 @@
 	p.pending = kept
 }
 
-// stands reports whether a removal is still supported; other changes always stand.
+// stands reports whether a removal after a failure is still supported.
 func (p *proposer) stands(change fleet.Change, now time.Time) bool {
 	removal, ok := change.(fleet.Remove)
 	if !ok {
--- a/io/peers/link.go
+++ b/io/peers/link.go
@@ -5,13 +5,19 @@
 	"sync"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
 )
 
 // dialPause is how long a failed dial answers for those that follow.
 const dialPause = 100 * time.Millisecond
 
+const (
+	// idleTrust is how long a session may be idle and still be used without asking for a sign of life.
+	idleTrust = time.Second
+	// idleAnswer bounds the wait for the sign of life of an idle session.
+	idleAnswer = 300 * time.Millisecond
+)
+
 // errDialPause reports that the instance could not be reached a moment ago.
 var errDialPause = errors.New("the instance could not be reached a moment ago")
 
@@ -19,23 +25,26 @@
 type link struct {
 	address  string
 	counters *Counters
+	keeper   *keeper
 	// dialling has room for the one caller that opens a session.
 	dialling chan struct{}
 
 	mu      sync.Mutex
-	session *yamux.Session
+	session *session
 	used    time.Time
 	failed  time.Time
 	closed  bool
 }
 
-func newLink(address string, counters *Counters) *link {
-	return &link{address: address, counters: counters, dialling: make(chan struct{}, 1), used: time.Now()}
+func newLink(address string, counters *Counters, k *keeper) *link {
+	return &link{
+		address: address, counters: counters, keeper: k, dialling: make(chan struct{}, 1), used: time.Now(),
+	}
 }
 
-// get returns the session and opens it when there is none.
-func (l *link) get(ctx context.Context) (*yamux.Session, error) {
-	if session := l.current(); session != nil {
+// get returns the session and opens one when there is none, or none that answers.
+func (l *link) get(ctx context.Context) (*session, error) {
+	if session := l.current(); session != nil && session.idle() < idleTrust {
 		return session, nil
 	}
 	select {
@@ -45,7 +54,11 @@
 		return nil, errors.Wrap(ctx.Err(), "waiting for a session")
 	}
 	if session := l.current(); session != nil {
-		return session, nil
+		if session.idle() < idleTrust || session.answers(ctx, idleAnswer) {
+			return session, nil
+		}
+		l.counters.SessionsReplaced.Add(1)
+		closeQuietly(session)
 	}
 	if l.failedLately() {
 		return nil, errDialPause
@@ -59,6 +72,12 @@
 	return session, nil
 }
 
+// silentSince reports whether nothing has arrived over the standing session since the time.
+func (l *link) silentSince(since time.Time) bool {
+	session := l.current()
+	return session == nil || session.conn.lastHeard().Before(since)
+}
+
 // touch notes that the link is about to be used.
 func (l *link) touch() {
 	l.mu.Lock()
@@ -67,10 +86,13 @@
 }
 
 // replace makes the session the standing one and closes the one before.
-func (l *link) replace(session *yamux.Session) {
+func (l *link) replace(session *session) {
 	l.mu.Lock()
 	previous := l.session
 	l.session, l.used, l.failed = session, time.Now(), time.Time{}
+	if session != nil {
+		l.keeper.add(session)
+	}
 	if l.closed {
 		l.session, previous = nil, session
 	}
@@ -106,7 +128,7 @@
 	l.replace(nil)
 }
 
-func (l *link) current() *yamux.Session {
+func (l *link) current() *session {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.session == nil || l.session.IsClosed() {
--- a/io/peers/links.go
+++ b/io/peers/links.go
@@ -21,6 +21,7 @@
 type links struct {
 	mapped   func(address string) string
 	counters *Counters
+	keeper   *keeper
 	stop     chan struct{}
 	running  sync.WaitGroup
 
@@ -29,8 +30,10 @@
 	closed bool
 }
 
-func newLinks(mapped func(string) string, counters *Counters) *links {
-	l := &links{mapped: mapped, counters: counters, stop: make(chan struct{}), held: make(map[string]*link)}
+func newLinks(mapped func(string) string, counters *Counters, k *keeper) *links {
+	l := &links{
+		mapped: mapped, counters: counters, keeper: k, stop: make(chan struct{}), held: make(map[string]*link),
+	}
 	l.running.Go(func() {
 		ticker := time.NewTicker(sweepInterval)
 		defer ticker.Stop()
@@ -68,17 +71,19 @@
 }
 
 // fresh opens a session of its own to the address.
-func (l *links) fresh(ctx context.Context, address string) (*yamux.Session, error) {
+func (l *links) fresh(ctx context.Context, address string) (*session, error) {
 	return dialSession(ctx, l.mapped(address), l.counters)
 }
 
-// replace makes a fresh session the standing one.
-func (l *links) replace(address string, session *yamux.Session) {
+// renew makes a fresh session the standing one when nothing has arrived over that since the time; a standing session
+// that is only busy is kept, with the transactions that it carries.
+func (l *links) renew(address string, session *session, since time.Time) {
 	held, err := l.link(address)
-	if err != nil {
+	if err != nil || !held.silentSince(since) {
 		closeQuietly(session)
 		return
 	}
+	l.counters.SessionsReplaced.Add(1)
 	held.replace(session)
 }
 
@@ -106,7 +111,7 @@
 	}
 	held := l.held[address]
 	if held == nil {
-		held = newLink(l.mapped(address), l.counters)
+		held = newLink(l.mapped(address), l.counters, l.keeper)
 		l.held[address] = held
 	}
 	held.touch()
--- a/io/peers/listener.go
+++ b/io/peers/listener.go
@@ -16,22 +16,21 @@
 type listener struct {
 	accepting net.Listener
 	counters  *Counters
-	serve     func(session *yamux.Session, stream *yamux.Stream)
+	keeper    *keeper
+	serve     func(session *session, stream *yamux.Stream)
 	running   sync.WaitGroup
 
 	mu       sync.Mutex
-	sessions map[*yamux.Session]bool
+	sessions map[*session]bool
 	closed   bool
 }
 
 func newListener(
-	address string, counters *Counters, serve func(*yamux.Session, *yamux.Stream),
-) (*listener, error) {
-	accepting, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, errors.Wrap(err, "listening for other instances")
+	accepting net.Listener, counters *Counters, k *keeper, serve func(*session, *yamux.Stream),
+) *listener {
+	l := &listener{
+		accepting: accepting, counters: counters, keeper: k, serve: serve, sessions: make(map[*session]bool),
 	}
-	l := &listener{accepting: accepting, counters: counters, serve: serve, sessions: make(map[*yamux.Session]bool)}
 	l.running.Go(func() {
 		for {
 			accepted, err := accepting.Accept()
@@ -45,7 +44,7 @@
 			l.start(accepted)
 		}
 	})
-	return l, nil
+	return l
 }
 
 // start serves a connection until it ends.
@@ -59,6 +58,7 @@
 		closeQuietly(session)
 		return
 	}
+	l.keeper.add(session)
 	l.running.Go(func() {
 		defer l.remove(session)
 		for {
@@ -74,7 +74,7 @@
 	})
 }
 
-func (l *listener) add(session *yamux.Session) bool {
+func (l *listener) add(session *session) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
@@ -84,7 +84,7 @@
 	return true
 }
 
-func (l *listener) remove(session *yamux.Session) {
+func (l *listener) remove(session *session) {
 	closeQuietly(session)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -96,7 +96,7 @@
 	closeQuietly(l.accepting)
 	l.mu.Lock()
 	l.closed = true
-	sessions := make([]*yamux.Session, 0, len(l.sessions))
+	sessions := make([]*session, 0, len(l.sessions))
 	for session := range l.sessions {
 		sessions = append(sessions, session)
 	}
--- a/io/peers/node.go
+++ b/io/peers/node.go
@@ -22,6 +22,7 @@
 	counters *Counters
 	roster   *roster
 	records  *records
+	keeper   *keeper
 	links    *links
 	changes  *notifier
 	// fetches names peers that hold newer documents.
@@ -30,18 +31,26 @@
 
 func newNode(settings Settings) *node {
 	counters := &Counters{}
+	k := newKeeper(counters)
 	return &node{
 		settings: settings,
 		logger:   settings.Logger,
 		counters: counters,
 		roster:   newRoster(settings.Self),
 		records:  newRecords(),
-		links:    newLinks(settings.Links, counters),
+		keeper:   k,
+		links:    newLinks(settings.Links, counters, k),
 		changes:  &notifier{},
 		fetches:  make(chan fetchOrder, pendingFetches),
 	}
 }
 
+// close ends the sessions to other instances.
+func (n *node) close() {
+	n.links.close()
+	n.keeper.close()
+}
+
 // membershipKey returns the key of the region's membership in the store.
 func (n *node) membershipKey() string { return "instances/" + string(n.settings.Region) }
 
--- a/io/peers/probe.go
+++ b/io/peers/probe.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
 
 	"turmericpulley/core/fleet"
@@ -15,7 +14,7 @@
 var errOtherInstance = errors.New("another instance, or another incarnation of it, answered")
 
 // probe exchanges a heartbeat with the peer over a fresh connection, which it returns.
-func (n *node) probe(ctx context.Context, peer fleet.Instance) (*yamux.Session, error) {
+func (n *node) probe(ctx context.Context, peer fleet.Instance) (*session, error) {
 	n.counters.Probes.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, fleet.ProbeTimeout)
 	defer cancel()
@@ -31,7 +30,7 @@
 }
 
 // greet exchanges one heartbeat over the session.
-func (n *node) greet(ctx context.Context, session *yamux.Session, peer fleet.Instance) error {
+func (n *node) greet(ctx context.Context, session *session, peer fleet.Instance) error {
 	stream, err := session.OpenStream()
 	if err != nil {
 		return errors.Wrap(err, "opening a stream")
--- a/io/peers/server.go
+++ b/io/peers/server.go
@@ -39,7 +39,7 @@
 }
 
 // serve answers requests on a stream until it ends.
-func (s *server) serve(session *yamux.Session, stream *yamux.Stream) {
+func (s *server) serve(session *session, stream *yamux.Stream) {
 	c := newCodec(stream, s.node.counters)
 	for {
 		if stream.SetReadDeadline(time.Now().Add(requestTimeout)) != nil {
@@ -66,7 +66,7 @@
 }
 
 // begin hands a transaction to the handler.
-func (s *server) begin(session *yamux.Session, stream *yamux.Stream, c *codec, begin *wire.Begin) {
+func (s *server) begin(session *session, stream *yamux.Stream, c *codec, begin *wire.Begin) {
 	if stream.SetDeadline(time.Time{}) != nil {
 		return
 	}
--- a/io/peers/service.go
+++ b/io/peers/service.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 
+	"github.com/pkg/errors"
+
 	"turmericpulley/core/fleet"
 	"turmericpulley/core/relay"
 	"turmericpulley/core/types"
@@ -29,17 +32,16 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Service{node: newNode(settings)}
+	accepting, err := net.Listen("tcp", settings.Listen)
+	if err != nil {
+		return nil, errors.Wrap(err, "listening for other instances")
+	}
+	s := &Service{node: newNode(settings.listening(accepting.Addr().String()))}
 	s.changes = s.node.changes.subscribe()
 	s.spreader = newSpreader(s.node)
 	s.proposer = newProposer(s.node, s.spreader.spreadMembership)
 	s.server = newServer(s.node, s.proposer, s.spreader)
-	if s.listener, err = newListener(settings.Listen, s.node.counters, s.server.serve); err != nil {
-		s.proposer.close()
-		s.spreader.close()
-		s.node.links.close()
-		return nil, err
-	}
+	s.listener = newListener(accepting, s.node.counters, s.node.keeper, s.server.serve)
 	s.fetcher = newFetcher(s.node)
 	s.docwatches = []*docwatch{
 		watchContracts(s.node, s.spreader), watchGroups(s.node, s.spreader), watchMembership(s.node),
@@ -114,6 +116,6 @@
 		s.listener.close()
 		s.proposer.close()
 		s.spreader.close()
-		s.node.links.close()
+		s.node.close()
 	})
 }
--- a/io/peers/session.go
+++ b/io/peers/session.go
@@ -13,21 +13,27 @@
 const (
 	// dialTimeout bounds the opening of a connection.
 	dialTimeout = time.Second
-	// keepAliveInterval is the time between two checks of a connection.
-	keepAliveInterval = time.Second
-	// sessionWriteTimeout bounds a write to a connection and the answer to a check.
-	sessionWriteTimeout = 1500 * time.Millisecond
+	// sessionWriteTimeout bounds a write to a connection.
+	sessionWriteTimeout = 3 * time.Second
 	// streamCloseTimeout bounds the closing of a stream whose other end does not close it.
 	streamCloseTimeout = 10 * time.Second
 	// acceptBacklog is the number of streams that may wait to be accepted.
 	acceptBacklog = 4096
 )
 
-// sessionSettings makes a silent connection end within three seconds.
+// session is a connection to another instance that carries many streams.
+type session struct {
+	*yamux.Session
+	conn *conn
+	// asked is when the keeper last asked for a sign of life; it belongs to the keeper.
+	asked time.Time
+}
+
+// sessionSettings leaves the search for silent connections to the keeper, which tells them from busy ones.
 func sessionSettings() *yamux.Config {
 	settings := yamux.DefaultConfig()
 	settings.AcceptBacklog = acceptBacklog
-	settings.KeepAliveInterval = keepAliveInterval
+	settings.EnableKeepAlive = false
 	settings.ConnectionWriteTimeout = sessionWriteTimeout
 	settings.StreamOpenTimeout = 0
 	settings.StreamCloseTimeout = streamCloseTimeout
@@ -36,23 +42,48 @@
 }
 
 // dialSession opens a connection to another instance.
-func dialSession(ctx context.Context, address string, counters *Counters) (*yamux.Session, error) {
+func dialSession(ctx context.Context, address string, counters *Counters) (*session, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	opened, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connecting to another instance")
 	}
 	counters.SessionsDialled.Add(1)
-	session, err := yamux.Client(&conn{Conn: opened, counters: counters}, sessionSettings())
+	c := newConn(opened, counters)
+	started, err := yamux.Client(c, sessionSettings())
 	if err != nil {
 		closeQuietly(opened)
 		return nil, errors.Wrap(err, "starting a session")
 	}
-	return session, nil
+	return &session{Session: started, conn: c}, nil
 }
 
 // acceptSession serves a connection that another instance opened.
-func acceptSession(accepted net.Conn, counters *Counters) (*yamux.Session, error) {
-	session, err := yamux.Server(&conn{Conn: accepted, counters: counters}, sessionSettings())
-	return session, errors.Wrap(err, "starting a session")
+func acceptSession(accepted net.Conn, counters *Counters) (*session, error) {
+	c := newConn(accepted, counters)
+	started, err := yamux.Server(c, sessionSettings())
+	if err != nil {
+		return nil, errors.Wrap(err, "starting a session")
+	}
+	return &session{Session: started, conn: c}, nil
+}
+
+// idle returns how long nothing has arrived.
+func (s *session) idle() time.Duration { return time.Since(s.conn.lastHeard()) }
+
+// answers reports whether anything arrives within the time after a request for a sign of life.
+func (s *session) answers(ctx context.Context, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	answered := make(chan error, 1)
+	go func() {
+		_, err := s.Ping()
+		answered <- err
+	}()
+	select {
+	case err := <-answered:
+		return err == nil
+	case <-ctx.Done():
+		return false
+	}
 }
--- a/io/peers/settings.go
+++ b/io/peers/settings.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"strings"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -12,7 +13,8 @@
 
 // Settings are what a service is made from.
 type Settings struct {
-	// Self describes this instance; an incarnation of zero is replaced by one made from the clock.
+	// Self describes this instance; an incarnation of zero is replaced by one made from the clock, and a peer address
+	// that is empty or ends in port zero by the address listened on.
 	Self fleet.Instance
 	// Region is the region whose membership the instance joins.
 	Region types.Region
@@ -53,3 +55,11 @@
 	s.Self.State = fleet.Live
 	return s, nil
 }
+
+// listening fills in the peer address once it is known.
+func (s Settings) listening(address string) Settings {
+	if s.Self.PeerAddress == "" || strings.HasSuffix(s.Self.PeerAddress, ":0") {
+		s.Self.PeerAddress = address
+	}
+	return s
+}
--- a/io/peers/store_test.go
+++ b/io/peers/store_test.go
@@ -20,6 +20,8 @@
 	changed  chan struct{}
 	down     bool
 	calls    int
+	// writes counts writes that took effect.
+	writes int
 	// loseAnswers is the number of writes whose answers are lost after they took effect.
 	loseAnswers int
 }
@@ -42,6 +44,12 @@
 	return calls
 }
 
+func (m *memoryStore) written() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.writes
+}
+
 func (m *memoryStore) begin() error {
 	m.calls++
 	if m.down {
@@ -70,6 +78,7 @@
 		return m.entries[key].Revision, fault.New(fault.RevisionConflict, "another revision")
 	}
 	m.revision++
+	m.writes++
 	m.entries[key] = relay.Entry{Key: key, Value: value, Revision: m.revision}
 	close(m.changed)
 	m.changed = make(chan struct{})
--- /dev/null
+++ b/io/peers/stream_test.go
@@ -0,0 +1,166 @@
+package peers_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/stretchr/testify/require"
+
+	"turmericpulley/core/fault"
+	"turmericpulley/io/peers"
+	"turmericpulley/io/wire"
+)
+
+// echo answers each frame with the same payload.
+func echo(_ context.Context, _ *wire.Begin, s peers.Stream) {
+	for {
+		frame, err := s.Receive()
+		if err != nil || s.Send(frame) != nil {
+			return
+		}
+	}
+}
+
+func TestTransactionsPassBetweenInstances(t *testing.T) {
+	c := newCluster(t, 2)
+	from, to := c.services[0], c.services[1]
+	_, err := from.Open(t.Context(), "stranger", &wire.Begin{})
+	require.Equal(t, fault.NoOwner, fault.From(err).Kind)
+
+	refused, err := from.Open(t.Context(), to.Self().ID, &wire.Begin{RequestId: 5})
+	require.NoError(t, err)
+	frame, err := refused.Receive()
+	require.NoError(t, err)
+	require.Equal(t, string(fault.NoOwner), frame.GetOutcome().GetRefusal().GetKind())
+	_, err = refused.Receive()
+	require.Equal(t, io.EOF, err)
+
+	to.HandleTransactions(echo)
+	running := sync.WaitGroup{}
+	for id := uint64(1); id <= 50; id++ {
+		running.Go(func() {
+			s, err := from.Open(t.Context(), to.Self().ID, &wire.Begin{RequestId: id})
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			payload := bytes.Repeat([]byte{byte(id)}, int(id)*10_000)
+			for range 3 {
+				if err := s.Send(&wire.Frame{RequestId: id, Payload: payload}); err != nil {
+					t.Error(err)
+				}
+				got, err := s.Receive()
+				if err != nil || !bytes.Equal(payload, got.GetPayload()) {
+					t.Errorf("request %d got another answer: %v", id, err)
+				}
+			}
+			_ = s.Close()
+		})
+	}
+	running.Wait()
+	require.Equal(t, uint64(51), to.Counters().StreamsServed.Load())
+}
+
+func TestFramesOfOtherRequestsEndTheStream(t *testing.T) {
+	c := newCluster(t, 2)
+	from, to := c.services[0], c.services[1]
+	to.HandleTransactions(func(_ context.Context, _ *wire.Begin, s peers.Stream) { _, _ = s.Receive() })
+	s, err := from.Open(t.Context(), to.Self().ID, &wire.Begin{RequestId: 7})
+	require.NoError(t, err)
+	require.Equal(t, fault.ProtocolViolation, fault.From(s.Send(&wire.Frame{RequestId: 8})).Kind)
+	require.Equal(t, uint64(1), from.Counters().RequestMismatches.Load())
+	require.Error(t, s.Send(&wire.Frame{RequestId: 7}))
+
+	a, b := peers.Pipe(7)
+	require.Error(t, a.Send(&wire.Frame{RequestId: 8}))
+	_, err = b.Receive()
+	require.Equal(t, io.EOF, err)
+}
+
+func TestMalformedMessagesEndTheSession(t *testing.T) {
+	c := newCluster(t, 1)
+	oversized := binary.BigEndian.AppendUint32(nil, 16<<20+1)
+	garbage := append(binary.BigEndian.AppendUint32(nil, 4), 0xff, 0xff, 0xff, 0xff)
+	for index, message := range [][]byte{oversized, garbage} {
+		conn, err := net.Dial("tcp", c.services[0].Address())
+		require.NoError(t, err)
+		settings := yamux.DefaultConfig()
+		settings.LogOutput = io.Discard
+		session, err := yamux.Client(conn, settings)
+		require.NoError(t, err)
+		stream, err := session.Open()
+		require.NoError(t, err)
+		_, err = stream.Write(message)
+		require.NoError(t, err)
+		require.Eventually(t, session.IsClosed, soon, often)
+		require.Equal(t, uint64(index+1), c.services[0].Counters().ProtocolViolations.Load())
+		_ = session.Close()
+	}
+}
+
+func TestOversizedFrameIsNotSent(t *testing.T) {
+	c := newCluster(t, 2)
+	s, err := c.services[0].Open(t.Context(), c.services[1].Self().ID, &wire.Begin{RequestId: 1})
+	require.NoError(t, err)
+	defer func() { _ = s.Close() }()
+	err = s.Send(&wire.Frame{RequestId: 1, Payload: make([]byte, 16<<20)})
+	require.Equal(t, fault.ProtocolViolation, fault.From(err).Kind)
+}
+
+func TestOpenIsBoundedWhenThePeerIsSilent(t *testing.T) {
+	c := newCluster(t, 2)
+	from, to := c.services[0], c.services[1]
+	to.HandleTransactions(echo)
+	s, err := from.Open(t.Context(), to.Self().ID, &wire.Begin{RequestId: 1})
+	require.NoError(t, err)
+	require.NoError(t, s.SetDeadline(time.Now().Add(200*time.Millisecond)))
+	require.NoError(t, s.Send(&wire.Frame{RequestId: 1}))
+	_, err = s.Receive()
+	require.NoError(t, err)
+	c.hop(from.Self().ID, to.Self().PeerAddress).silence()
+	require.NoError(t, s.Send(&wire.Frame{RequestId: 1}))
+	_, err = s.Receive()
+	var timeout net.Error
+	require.ErrorAs(t, err, &timeout)
+	require.True(t, timeout.Timeout())
+	_ = s.Close()
+}
+
+func TestPipeBoundsEveryWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := peers.Pipe(1)
+		require.NoError(t, a.SetDeadline(time.Now().Add(time.Second)))
+		started := time.Now()
+		_, err := a.Receive()
+		require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+		require.Equal(t, time.Second, time.Since(started))
+		require.ErrorIs(t, a.Send(&wire.Frame{RequestId: 1}), os.ErrDeadlineExceeded)
+
+		require.NoError(t, a.SetDeadline(time.Time{}))
+		sent := 0
+		time.AfterFunc(time.Minute, func() { _ = a.SetDeadline(time.Now()) })
+		for err = nil; err == nil; {
+			if err = a.Send(&wire.Frame{RequestId: 1}); err == nil {
+				sent++
+			}
+		}
+		require.ErrorIs(t, err, os.ErrDeadlineExceeded, "a deadline set later ends a wait")
+		require.NoError(t, a.Close())
+		for range sent {
+			_, err = b.Receive()
+			require.NoError(t, err, "frames sent before the closing arrive")
+		}
+		_, err = b.Receive()
+		require.ErrorIs(t, err, io.EOF)
+		require.ErrorIs(t, b.Send(&wire.Frame{RequestId: 1}), io.ErrClosedPipe)
+	})
+}
--- a/io/peers/watch.go
+++ b/io/peers/watch.go
@@ -23,6 +23,8 @@
 	running   sync.WaitGroup
 	stream    *yamux.Stream
 	codec     *codec
+	// missed is when the heartbeat was sent that had no answer.
+	missed time.Time
 }
 
 func newWatch(n *node, peer fleet.Instance, report func(context.Context, fleet.Instance)) *watch {
@@ -62,6 +64,7 @@
 		w.node.counters.HeartbeatsMissed.Add(1)
 		w.hangUp()
 		w.monitor.Missed(time.Now())
+		w.missed = sent
 		return
 	}
 	w.heard(sent)
@@ -91,8 +94,7 @@
 	sent := time.Now()
 	session, err := w.node.probe(ctx, w.peer)
 	if err == nil {
-		w.node.counters.SessionsReplaced.Add(1)
-		w.node.links.replace(w.peer.PeerAddress, session)
+		w.node.links.renew(w.peer.PeerAddress, session, w.missed)
 		w.heard(sent)
 		return
 	}
