--- /dev/null
+++ b/io/check/faults.go
@@ -0,0 +1,34 @@
+package check
+
+// CutMember drops all data in the directions between the member and the instances, and between it and the members that
+// follow it.
+func (f *Fleet) CutMember(m *Member, instances []*Instance, directions ...Direction) {
+	for _, direction := range directions {
+		for _, i := range instances {
+			i.Members[m.Target].Cut(direction)
+		}
+		m.Replication.Cut(direction)
+	}
+}
+
+// HealMember restores every path to the member.
+func (f *Fleet) HealMember(m *Member) {
+	for _, i := range f.Instances {
+		i.Members[m.Target].Heal()
+	}
+	m.Replication.Heal()
+}
+
+// CutPlatform drops all data between the platform and every instance.
+func (f *Fleet) CutPlatform() {
+	for _, i := range f.Instances {
+		i.Platform.CutBoth()
+	}
+}
+
+// HealPlatform restores the paths to the platform.
+func (f *Fleet) HealPlatform() {
+	for _, i := range f.Instances {
+		i.Platform.Heal()
+	}
+}
--- /dev/null
+++ b/io/check/owner.go
@@ -0,0 +1,60 @@
+package check
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"turmericpulley/core/types"
+	"turmericpulley/io/server"
+)
+
+const reportTimeout = time.Second
+
+// Report asks the instance what it believes.
+func (i *Instance) Report() (server.Report, error) {
+	client := http.Client{Timeout: reportTimeout}
+	response, err := client.Get("http://" + i.HTTP + "/debug/state")
+	if err != nil {
+		return server.Report{}, errors.Wrapf(err, "asking %s", i.ID)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var report server.Report
+	err = json.NewDecoder(response.Body).Decode(&report)
+	return report, errors.Wrapf(err, "reading the state of %s", i.ID)
+}
+
+// Owner returns the instance that owns the database in the highest epoch.
+func (f *Fleet) Owner(database int) *Instance {
+	f.tb.Helper()
+	var owner *Instance
+	var epoch types.Epoch
+	for _, i := range f.Instances {
+		report, err := i.Report()
+		if err != nil {
+			continue
+		}
+		for _, held := range report.Databases {
+			if held.Database == f.layout.databaseID(database) && held.Epoch >= epoch {
+				owner = i
+				epoch = held.Epoch
+			}
+		}
+	}
+	require.NotNil(f.tb, owner, "no instance owns the database")
+	return owner
+}
+
+// Others returns the instances but for one.
+func (f *Fleet) Others(but *Instance) []*Instance {
+	var others []*Instance
+	for _, i := range f.Instances {
+		if i != but {
+			others = append(others, i)
+		}
+	}
+	return others
+}
--- a/io/load/caller.go
+++ b/io/load/caller.go
@@ -54,8 +54,10 @@
 		invoked := c.history.Now()
 		a := c.attempt(ctx, r, keyed.key)
 		outcome := keyed.add(a, invoked, c.history.Now())
-		if a.broken || a.outcome == audit.NotRun {
+		if outcome != audit.Acknowledged {
 			c.recorder.recordRefusal(r.class, a.sqlState)
+		}
+		if a.broken || a.outcome == audit.NotRun {
 			c.move()
 		}
 		if !keyed.mayRepeat(a) || !pauses.wait(ctx) {
--- a/io/load/result.go
+++ b/io/load/result.go
@@ -45,7 +45,7 @@
 	P50          Milliseconds `json:"p50Ms"`
 	P99          Milliseconds `json:"p99Ms"`
 	Max          Milliseconds `json:"maxMs"`
-	// Refusals counts refused and broken attempts, those that a retry made good included, by SQLSTATE.
+	// Refusals counts attempts without an acknowledgement, those that a retry made good included, by SQLSTATE.
 	Refusals    map[audit.SQLState]int `json:"refusals,omitempty"`
 	Percentiles []Percentile           `json:"percentiles"`
 }
--- a/io/load/text.go
+++ b/io/load/text.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 
 	"turmericpulley/core/audit"
@@ -27,6 +29,7 @@
 			c.Class, c.Acknowledged, c.NotRun, c.Unknown, c.Failed, c.Missed,
 			float64(c.P50), float64(c.P99), float64(c.Max))
 	}
+	b.WriteString(r.refusalsText())
 	b.WriteString(findingsText(r.Findings))
 	return b.String()
 }
@@ -38,6 +41,25 @@
 	return fmt.Sprintf("share of reads served by replicas: %.1f %%\n", 100*r.ReplicaReadShare)
 }
 
+// refusalsText lists refused and broken attempts by their codes.
+func (r Result) refusalsText() string {
+	total := map[audit.SQLState]int{}
+	for _, c := range r.Classes {
+		for state, count := range c.Refusals {
+			total[state] += count
+		}
+	}
+	var b strings.Builder
+	for _, state := range slices.Sorted(maps.Keys(total)) {
+		name := string(state)
+		if name == "" {
+			name = "broken connection"
+		}
+		fmt.Fprintf(&b, "%d attempts ended with %s\n", total[state], name)
+	}
+	return b.String()
+}
+
 func findingsText(findings []audit.Finding) string {
 	var b strings.Builder
 	for i, f := range findings {
