feat: replace connections that went silent

Ruled out: kernel time-outs alone, since what sits between may acknowledge data that it drops. Change: after 1 s without a message a fresh connection asks the member whether it works on the statement; if not, the connection is condemned.

--- a/io/owner/counters.go
+++ b/io/owner/counters.go
@@ -24,6 +24,8 @@
 	Dials atomic.Int64
 	// Condemned counts connections thrown away because their state was in doubt.
 	Condemned atomic.Int64
+	// Silent counts connections that went silent although the target had nothing left to do for them.
+	Silent atomic.Int64
 	// ConfirmedLate counts writes confirmed after a promotion that kept them.
 	ConfirmedLate atomic.Int64
 	// Discarded counts unacknowledged log entries that returning primaries gave up.
--- a/io/owner/exchange.go
+++ b/io/owner/exchange.go
@@ -5,17 +5,20 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"turmericpulley/core/policy"
 )
 
 // exchange sends a batch, preceded by the session's settings, and lets read take in the answer. The connection's deadline
 // follows the context; when the context ends first the target is asked to stop the statement.
-func (t *transaction) exchange(ctx context.Context, c *pooled, payload []byte, read func() error) error {
+func (t *transaction) exchange(ctx context.Context, m policy.Member, c *pooled, payload []byte, read func() error) error {
 	prefix, statements := t.prefix(c)
 	if len(prefix) > 0 {
 		payload = append(prefix, payload...)
 	}
 	t.running.Store(c.Conn)
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	watch := t.owner.watchSilence(m, c)
 	err := c.Send(payload)
 	if err == nil {
 		err = skipPrefix(c, statements)
@@ -23,6 +26,7 @@
 	if err == nil {
 		err = read()
 	}
+	watch.end()
 	t.running.Store(nil)
 	if stop() {
 		return err
--- a/io/owner/primary.go
+++ b/io/owner/primary.go
@@ -109,7 +109,7 @@
 
 // primaryBatch sends one batch and reads the answer; what follows the first completed command is held back.
 func (t *transaction) primaryBatch(ctx context.Context, g grant, payload []byte, ended bool, a *answer) error {
-	return t.exchange(ctx, g.conn, payload, func() error {
+	return t.exchange(ctx, t.owner.members[g.target].info, g.conn, payload, func() error {
 		if !ended {
 			go t.feed(ctx, g.conn)
 		}
--- a/io/owner/replica.go
+++ b/io/owner/replica.go
@@ -60,7 +60,8 @@
 
 func (t *transaction) tryReplica(ctx context.Context, r replica, floor types.Position, payload []byte) (attempt, error) {
 	t.attempts++
-	p := t.owner.members[r.target].pool
+	m := t.owner.members[r.target]
+	p := m.pool
 	c, err := p.take(ctx, t.session.Customer, t.limits)
 	if err != nil {
 		if f := fault.From(err); f != nil {
@@ -70,7 +71,7 @@
 	}
 	t.note(trace.Event{What: trace.Sent, Target: r.target, Replica: true})
 	var a answer
-	err = t.exchange(ctx, c, payload, func() error { return t.readReplica(c, &a) })
+	err = t.exchange(ctx, m.info, c, payload, func() error { return t.readReplica(c, &a) })
 	switch {
 	case err != nil:
 		p.put(c, false)
--- a/io/pgcli/conn.go
+++ b/io/pgcli/conn.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,6 +23,8 @@
 	position types.Position
 	pid      uint32
 	secret   uint32
+	// received counts messages, for those who watch the connection's progress.
+	received atomic.Uint64
 }
 
 // Address returns where the connection leads.
@@ -33,6 +36,12 @@
 // Position returns the log position that the target's last answer covers.
 func (c *Conn) Position() types.Position { return c.position }
 
+// Received returns the number of messages received so far; it is safe for concurrent use.
+func (c *Conn) Received() uint64 { return c.received.Load() }
+
+// Abort makes reads and writes fail at once and for good; it is safe for concurrent use.
+func (c *Conn) Abort() { _ = c.network.Close() }
+
 // SetDeadline bounds all reads and writes; the zero time removes the bound.
 func (c *Conn) SetDeadline(deadline time.Time) error {
 	return errors.Wrap(c.network.SetDeadline(deadline), "setting a deadline")
@@ -84,6 +93,7 @@
 	if _, err := io.ReadFull(c.reader, raw); err != nil {
 		return Message{}, errors.Wrap(err, "reading from a target")
 	}
+	c.received.Add(1)
 	return Message{Type: raw[0], Raw: raw}, nil
 }
 
--- a/io/server/fleet_test.go
+++ b/io/server/fleet_test.go
@@ -16,6 +16,7 @@
 
 	"turmericpulley/core/policy"
 	"turmericpulley/core/types"
+	"turmericpulley/io/check"
 	"turmericpulley/io/fakedb"
 	"turmericpulley/io/fakekv"
 	"turmericpulley/io/server"
@@ -23,6 +24,8 @@
 
 // fleet is a platform, one database and instances in one process.
 type fleet struct {
+	// links lead from the instances to the members.
+	links    []*check.Link
 	platform *fakekv.Platform
 	members  []*fakedb.Member
 	servers  []*server.Server
@@ -53,6 +56,7 @@
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = m.Close() })
 		f.members = append(f.members, m)
+		f.links = append(f.links, check.NewLink(t, string(settings.ID), m.Address()))
 		database.Members = append(database.Members, policy.Member{
 			Target: settings.ID, Address: m.Address(), DataCentre: types.DataCentre(fmt.Sprintf("slo-%c", 'a'+i)),
 		})
@@ -77,6 +81,10 @@
 	for range instances {
 		seeds = append(seeds, freeAddress(t))
 	}
+	links := map[string]string{}
+	for i, m := range f.members {
+		links[m.Address()] = f.links[i].Address()
+	}
 	for i := range instances {
 		s, err := server.New(server.Settings{
 			ID:             types.InstanceID(fmt.Sprintf("i%d", i)),
@@ -87,6 +95,7 @@
 			HTTPAddress:    "127.0.0.1:0",
 			Platform:       f.platform.URL(),
 			Seeds:          seeds,
+			Links:          links,
 			Logger:         hclog.New(&hclog.LoggerOptions{Level: hclog.Info, Output: t.Output(), Name: fmt.Sprintf("i%d", i)}),
 		})
 		require.NoError(t, err)
--- a/io/server/measure.go
+++ b/io/server/measure.go
@@ -43,6 +43,7 @@
 		{"owner_losses", "Databases lost to another owner.", v.counters.Losses.Load},
 		{"owner_dials", "Connections opened to targets.", v.counters.Dials.Load},
 		{"owner_condemned", "Connections thrown away because their state was in doubt.", v.counters.Condemned.Load},
+		{"owner_silent", "Connections replaced because they had gone silent.", v.counters.Silent.Load},
 		{"owner_confirmed_late", "Writes confirmed after a promotion that kept them.", v.counters.ConfirmedLate.Load},
 		{"owner_discarded", "Unacknowledged log entries that returning primaries gave up.", v.counters.Discarded.Load},
 		{"owner_repeats", "Requests answered from the record of their key.", v.counters.Repeats.Load},
