feat: notice callers that disconnect behind pipelined requests

A connection that had read a second request waited for the first answer without reading, so that a caller that disconnected kept its transaction until the answer or the time limit. It now reads ahead while it waits.

--- a/io/pgsrv/answer.go
+++ b/io/pgsrv/answer.go
@@ -13,6 +13,16 @@
 
 func newAnswer() *answer { return &answer{done: make(chan struct{})} }
 
+// isDone reports whether the whole answer has been written.
+func (a *answer) isDone() bool {
+	select {
+	case <-a.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // confirm takes the next expected ParseComplete and reports whether the caller gets it.
 func (a *answer) confirm() (relay, expected bool) {
 	if len(a.parses) == 0 {
--- a/io/pgsrv/caller.go
+++ b/io/pgsrv/caller.go
@@ -36,10 +36,11 @@
 	settings    []string // SET statements of the start-up
 	statements  map[string]*statement
 	exchange    atomic.Pointer[exchange]
-	answer      *answer // of the batch that was sent last, until it is settled
-	defined     []parse // statements that the batch defines
-	batch       *batch  // being received
-	blockFailed bool    // the proxy ended a transaction block and waits for the caller to end it as well
+	answer      *answer     // of the batch that was sent last, until it is settled
+	defined     []parse     // statements that the batch defines
+	batch       *batch      // being received
+	blockFailed bool        // the proxy ended a transaction block and waits for the caller to end it as well
+	awaiting    atomic.Bool // the answer, with more requests behind it
 	relays      sync.WaitGroup
 }
 
@@ -111,8 +112,8 @@
 
 // terminate ends the connection after the answer to the last batch.
 func (c *caller) terminate() error {
-	if c.batch == nil {
-		_ = c.settle()
+	if c.batch == nil && c.answer != nil {
+		<-c.answer.done
 	}
 	return errTerminated
 }
@@ -123,12 +124,7 @@
 		return false
 	}
 	if c.answer != nil {
-		select {
-		case <-c.answer.done:
-		default:
-			return false
-		}
-		if c.settle() != nil {
+		if !c.answer.isDone() || c.settle() != nil {
 			return false
 		}
 	}
@@ -142,7 +138,9 @@
 	if a == nil {
 		return nil
 	}
-	<-a.done
+	if err := c.await(a); err != nil {
+		return err
+	}
 	c.answer = nil
 	c.forgetUnconfirmed()
 	x := c.exchange.Load()
@@ -180,9 +178,9 @@
 	return x.status
 }
 
-// answered wakes a connection that may now be idle while the server drains.
+// answered wakes a connection that waits for the answer, or that may now be idle while the server drains.
 func (c *caller) answered() {
-	if c.server.draining.Load() {
+	if c.awaiting.Load() || c.server.draining.Load() {
 		c.wake()
 	}
 }
--- a/io/pgsrv/exchange.go
+++ b/io/pgsrv/exchange.go
@@ -210,6 +210,7 @@
 	if x.current != nil && x.state != exchangeFailed {
 		close(x.current.done)
 		x.current = nil
+		x.caller.answered()
 	}
 	if x.abandoned {
 		x.caller.server.counters.Abandoned.Add(1)
--- a/io/pgsrv/failure_test.go
+++ b/io/pgsrv/failure_test.go
@@ -193,17 +193,20 @@
 }
 
 func TestCallerThatLeavesEndsItsTransaction(t *testing.T) {
-	for _, text := range []string{"HANG", "BEGIN"} {
+	for _, texts := range [][]string{{"HANG"}, {"BEGIN"}, {"HANG", "INSERT later"}, {"HANG", "INSERT later", "INSERT last"}} {
 		b := newBench(t)
 		conn := b.dial()
 		startUp(t, conn)
-		_, err := conn.Write(encode(t, query(text)))
-		require.NoError(t, err)
+		for _, text := range texts {
+			_, err := conn.Write(encode(t, query(text)))
+			require.NoError(t, err)
+		}
 		require.Eventually(t, func() bool { return len(b.record.snapshot().statements) == 1 }, patience, time.Millisecond)
 		require.NoError(t, conn.Close())
 		require.Eventually(t, func() bool { return b.record.snapshot().ended == 1 }, patience, time.Millisecond)
 		require.Eventually(t, func() bool { return len(b.observed()) == 1 }, patience, time.Millisecond)
 		require.True(t, b.observed()[0].Abandoned)
+		require.Len(t, b.record.snapshot().statements, 1)
 	}
 }
 
--- a/io/pgsrv/open.go
+++ b/io/pgsrv/open.go
@@ -75,6 +75,7 @@
 }
 
 func requestTimeout(contract policy.Contract) time.Duration {
+	contract = contract.WithDefaults()
 	statement, queue := contract.StatementTimeout.Std(), contract.QueueTimeout.Std()
 	if statement <= 0 {
 		statement = defaultStatementTimeout
--- a/io/pgsrv/sequence_test.go
+++ b/io/pgsrv/sequence_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -102,3 +104,25 @@
 		}
 	}
 }
+
+// TestMutatedMessagesHarmNobody checks that the server outlives random changes to what callers send.
+func TestMutatedMessagesHarmNobody(t *testing.T) {
+	b := newBench(t)
+	other := b.connect("")
+	rapid.Check(t, func(rt *rapid.T) {
+		next := 0
+		data := encode(t, startUpMessage())
+		for range rapid.IntRange(1, 4).Draw(rt, "batches") {
+			data = append(data, encode(t, drawBatch(rt, &next, map[string]bool{}).messages...)...)
+		}
+		for range rapid.IntRange(1, 6).Draw(rt, "mutations") {
+			data[rapid.IntRange(0, len(data)-1).Draw(rt, "place")] = rapid.Byte().Draw(rt, "byte")
+		}
+		conn := b.dial()
+		_, _ = conn.Write(data)
+		require.NoError(rt, conn.(*net.TCPConn).CloseWrite())
+		_, _ = io.Copy(io.Discard, conn)
+		require.NoError(rt, conn.Close())
+		require.NoError(rt, other.Ping(b.context()))
+	})
+}
