feat: demo of the whole system in one process

A newcomer needs one command that shows the promises. The demo runs the platform, 3 databases of 3 members, 3 instances and both customers' load, kills a primary half way and prints figures of the recorded history; it fails when a promise is broken.

--- /dev/null
+++ b/io/demo/customers.go
@@ -0,0 +1,55 @@
+package demo
+
+import (
+	"time"
+
+	"turmericpulley/core/policy"
+	"turmericpulley/core/types"
+	"turmericpulley/io/load"
+)
+
+const (
+	group     types.GroupID    = "orders-db"
+	sencnik   types.CustomerID = "sencnik"
+	omprela   types.CustomerID = "omprela"
+	databases                  = 3
+	members                    = 3
+	instances                  = 3
+	// slots and connections are those of one member.
+	slots       = 2
+	connections = 15
+)
+
+// contracts returns the contracts of both customers.
+func contracts() []policy.Contract {
+	return []policy.Contract{
+		newContract(sencnik, 2*time.Second),
+		newContract(omprela, time.Second),
+	}
+}
+
+func newContract(customer types.CustomerID, maxReadAge time.Duration) policy.Contract {
+	return policy.Contract{
+		Customer:    customer,
+		Groups:      []types.GroupID{group},
+		Connections: 6,
+		MaxReadAge:  policy.Duration(maxReadAge),
+	}.WithDefaults()
+}
+
+// loads returns the load of each customer.
+func loads(settings Settings) []load.Settings {
+	orders := load.Settings{
+		Workload: load.Orders, Customer: sencnik, Rate: 120, Sessions: 12, Connections: 2, Roam: 1, WriteShare: 0.25,
+	}
+	kiosk := load.Settings{
+		Workload: load.Kiosk, Customer: omprela, Rate: 120, Sessions: 12, Connections: 2, Roam: 1, WriteShare: 0.4,
+	}
+	all := []load.Settings{orders, kiosk}
+	for i := range all {
+		all[i].Duration = settings.Duration
+		all[i].Seed = settings.Seed + uint64(i)
+		all[i].RequestTimeout = 8 * time.Second
+	}
+	return all
+}
--- /dev/null
+++ b/io/demo/summary.go
@@ -0,0 +1,44 @@
+package demo
+
+import "turmericpulley/io/load"
+
+// Summary is what the recorded histories of all customers say together.
+type Summary struct {
+	Requests           int               `json:"requests"`
+	AcknowledgedWrites int               `json:"acknowledgedWrites"`
+	LostWrites         int               `json:"lostWrites"`
+	DoubledWrites      int               `json:"doubledWrites"`
+	FalseRefusals      int               `json:"falseRefusals"`
+	StaleReads         int               `json:"staleReads"`
+	ReplicaReadShare   float64           `json:"replicaReadShare"`
+	FailoverGap        load.Milliseconds `json:"failoverGapMs"`
+	Seed               uint64            `json:"seed"`
+}
+
+// Clean reports whether no promise was broken.
+func (s Summary) Clean() bool {
+	return s.LostWrites == 0 && s.DoubledWrites == 0 && s.FalseRefusals == 0 && s.StaleReads == 0
+}
+
+// newSummary adds up the results; the share is weighted by the reads.
+func newSummary(results []load.Result, seed uint64) Summary {
+	s := Summary{Seed: seed}
+	reads := 0
+	replicaReads := 0.0
+	for _, r := range results {
+		s.Requests += r.Requests
+		s.AcknowledgedWrites += r.AcknowledgedWrites
+		s.LostWrites += r.LostWrites
+		s.DoubledWrites += r.DoubledWrites
+		s.FalseRefusals += r.FalseRefusals
+		s.StaleReads += r.StaleReads
+		if r.ReplicaReadShare >= 0 {
+			reads += r.AcknowledgedReads
+			replicaReads += r.ReplicaReadShare * float64(r.AcknowledgedReads)
+		}
+	}
+	if reads > 0 {
+		s.ReplicaReadShare = replicaReads / float64(reads)
+	}
+	return s
+}
--- /dev/null
+++ b/io/demo/world.go
@@ -0,0 +1,170 @@
+package demo
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+
+	"github.com/pkg/errors"
+
+	"turmericpulley/core/policy"
+	"turmericpulley/core/types"
+	"turmericpulley/io/fakedb"
+	"turmericpulley/io/fakekv"
+	"turmericpulley/io/load"
+	"turmericpulley/io/server"
+)
+
+const (
+	anyPort = "127.0.0.1:0"
+	region  = "slo-central"
+)
+
+// world is everything that the demo runs.
+type world struct {
+	platform *fakekv.Platform
+	// members holds the members of each database; the first is its primary at first.
+	members   [][]*fakedb.Member
+	instances []*server.Server
+	group     policy.Group
+}
+
+// newWorld starts the platform, the members and the instances.
+func newWorld() (*world, error) {
+	w := &world{group: policy.Group{Group: group, Slots: slots, Connections: connections}}
+	for d := range databases {
+		if err := w.startDatabase(types.DatabaseID(fmt.Sprintf("%s-%d", group, d+1))); err != nil {
+			w.close()
+			return nil, err
+		}
+	}
+	if err := w.startPlatform(); err != nil {
+		w.close()
+		return nil, err
+	}
+	if err := w.startInstances(); err != nil {
+		w.close()
+		return nil, err
+	}
+	return w, nil
+}
+
+// startDatabase starts the members of one database.
+func (w *world) startDatabase(name types.DatabaseID) error {
+	database := policy.Database{Database: name}
+	w.members = append(w.members, nil)
+	last := len(w.members) - 1
+	for i := range members {
+		settings := fakedb.Defaults()
+		settings.ID = types.TargetID(fmt.Sprintf("%s-%c", name, 'a'+i))
+		settings.Slots = slots
+		settings.Connections = connections
+		settings.Members = members
+		if i > 0 {
+			settings.Role = fakedb.Replica
+			settings.Primary = w.members[last][0].Address()
+		}
+		m, err := fakedb.Start(settings)
+		if err != nil {
+			return errors.Wrapf(err, "starting member %s", settings.ID)
+		}
+		w.members[last] = append(w.members[last], m)
+		database.Members = append(database.Members, policy.Member{
+			Target: settings.ID, Address: m.Address(), DataCentre: dataCentre(i),
+		})
+	}
+	w.group.Databases = append(w.group.Databases, database)
+	return nil
+}
+
+// startPlatform starts the platform with the group and the contracts in its store.
+func (w *world) startPlatform() error {
+	documents := map[string]string{}
+	if err := addDocument(documents, "groups/"+string(group), w.group); err != nil {
+		return err
+	}
+	for _, contract := range contracts() {
+		if err := addDocument(documents, "contracts/"+string(contract.Customer), contract); err != nil {
+			return err
+		}
+	}
+	platform, err := fakekv.Start(fakekv.Settings{Address: anyPort, Seed: documents})
+	w.platform = platform
+	return errors.Wrap(err, "starting the platform")
+}
+
+func addDocument(documents map[string]string, key string, document any) error {
+	text, err := json.Marshal(document)
+	documents[key] = string(text)
+	return errors.Wrapf(err, "encoding %s", key)
+}
+
+// startInstances starts the instances, each knowing the addresses of all.
+func (w *world) startInstances() error {
+	seeds, err := freeAddresses(instances)
+	if err != nil {
+		return err
+	}
+	for i, seed := range seeds {
+		instance, err := server.New(server.Settings{
+			ID:             types.InstanceID(fmt.Sprintf("instance-%d", i+1)),
+			Region:         region,
+			DataCentre:     dataCentre(i),
+			CallersAddress: anyPort,
+			PeersAddress:   seed,
+			HTTPAddress:    anyPort,
+			Platform:       w.platform.URL(),
+			Seeds:          seeds,
+		})
+		if err != nil {
+			return errors.Wrapf(err, "starting instance %d", i+1)
+		}
+		w.instances = append(w.instances, instance)
+	}
+	return nil
+}
+
+func dataCentre(i int) types.DataCentre { return types.DataCentre(fmt.Sprintf("slo-%c", 'a'+i)) }
+
+// freeAddresses returns addresses whose ports were free a moment ago.
+func freeAddresses(count int) ([]string, error) {
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", anyPort)
+		if err != nil {
+			return nil, errors.Wrap(err, "reserving a port")
+		}
+		defer func() { _ = listener.Close() }()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
+
+// target fills in where a load goes.
+func (w *world) target(settings load.Settings) load.Settings {
+	counter := load.MetricsCounter{}
+	for _, i := range w.instances {
+		settings.Addresses = append(settings.Addresses, i.CallersAddress())
+		counter.Addresses = append(counter.Addresses, i.HTTPAddress())
+	}
+	for _, d := range w.group.Databases {
+		settings.Databases = append(settings.Databases, d.Database)
+	}
+	settings.ReadCounter = counter
+	return settings
+}
+
+// close ends everything.
+func (w *world) close() {
+	for _, i := range w.instances {
+		i.Close()
+	}
+	if w.platform != nil {
+		_ = w.platform.Close()
+	}
+	for _, database := range w.members {
+		for _, m := range database {
+			_ = m.Close()
+		}
+	}
+}
--- a/io/load/result.go
+++ b/io/load/result.go
@@ -1,6 +1,8 @@
 package load
 
 import (
+	"time"
+
 	"turmericpulley/core/audit"
 	"turmericpulley/core/types"
 )
@@ -10,6 +12,7 @@
 	Workload           Workload         `json:"workload"`
 	Customer           types.CustomerID `json:"customer"`
 	Seed               uint64           `json:"seed"`
+	Started            time.Time        `json:"started"`
 	Duration           Milliseconds     `json:"durationMs"`
 	Requests           int              `json:"requests"`
 	AcknowledgedWrites int              `json:"acknowledgedWrites"`
--- a/io/load/run.go
+++ b/io/load/run.go
@@ -66,6 +66,7 @@
 		Workload:           settings.Workload,
 		Customer:           settings.Customer,
 		Seed:               settings.Seed,
+		Started:            m.start,
 		Duration:           milliseconds(time.Since(m.start)),
 		Requests:           t.requests,
 		AcknowledgedWrites: t.writes,
