feat: listener for operators

Metrics, liveness, readiness, the instance's state, the trail of a request and the progress of a contract are answered over HTTP with every timeout set; Close lets answers end, for at most 2 s.

--- /dev/null
+++ b/io/httpd/server.go
@@ -0,0 +1,75 @@
+package httpd
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+)
+
+const (
+	readTimeout  = 5 * time.Second
+	writeTimeout = 15 * time.Second
+	idleTimeout  = 60 * time.Second
+	// workTimeout bounds the work for one answer; it ends before the write timeout.
+	workTimeout = 10 * time.Second
+	// closeTimeout bounds the wait of Close for answers that are being written.
+	closeTimeout   = 2 * time.Second
+	maxHeaderBytes = 16 << 10
+)
+
+// Server listens for operators until it is closed.
+type Server struct {
+	settings Settings
+	listener net.Listener
+	http     *http.Server
+	done     chan struct{}
+}
+
+// New listens at the address of the settings and starts to serve.
+func New(settings Settings) (*Server, error) {
+	if settings.Logger == nil {
+		settings.Logger = hclog.NewNullLogger()
+	}
+	listener, err := net.Listen("tcp", settings.Address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listening for operators at %s", settings.Address)
+	}
+	s := &Server{settings: settings, listener: listener, done: make(chan struct{})}
+	s.http = &http.Server{
+		Handler:           http.TimeoutHandler(s.routes(), workTimeout, "the answer took too long\n"),
+		ReadHeaderTimeout: readTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          log.New(io.Discard, "", 0),
+	}
+	go func() {
+		defer close(s.done)
+		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			settings.Logger.Error("the listener for operators ended", "error", err)
+		}
+	}()
+	return s, nil
+}
+
+// Address returns the address that the server listens at.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close lets answers that are being written end, for a bounded time, and stops the server.
+func (s *Server) Close() error {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	err := s.http.Shutdown(ctx)
+	if err != nil {
+		err = s.http.Close()
+	}
+	<-s.done
+	return errors.Wrap(err, "closing the listener for operators")
+}
--- /dev/null
+++ b/io/httpd/server_test.go
@@ -0,0 +1,118 @@
+package httpd_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"turmericpulley/core/fault"
+	"turmericpulley/core/types"
+	"turmericpulley/io/httpd"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.Cleanup(func(code int) {
+		http.DefaultClient.CloseIdleConnections()
+	}))
+}
+
+// answer is what a call to the server returned.
+type answer struct {
+	Status int
+	Body   string
+}
+
+func get(t *testing.T, server *httpd.Server, path string) answer {
+	t.Helper()
+	response, err := http.Get("http://" + server.Address() + path)
+	require.NoError(t, err)
+	defer func() { require.NoError(t, response.Body.Close()) }()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return answer{Status: response.StatusCode, Body: string(body)}
+}
+
+func newServer(t *testing.T, settings httpd.Settings) *httpd.Server {
+	t.Helper()
+	settings.Address = "127.0.0.1:0"
+	server, err := httpd.New(settings)
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		http.DefaultClient.CloseIdleConnections()
+		require.NoError(t, server.Close())
+	})
+	return server
+}
+
+func TestRoutes(t *testing.T) {
+	var notReady error
+	server := newServer(t, httpd.Settings{
+		Metrics: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "metrics") }),
+		Ready:   func() error { return notReady },
+		State:   func() any { return []string{"state"} },
+		Request: func(id string) (any, bool) { return "trail of " + id, id == "abc" },
+		ContractStatus: func(_ context.Context, customer types.CustomerID, revision types.Revision) (any, error) {
+			if revision == 9 {
+				return nil, fault.New(fault.Isolated, "no majority")
+			}
+			return string(customer) + " " + revision.String(), nil
+		},
+	})
+	for path, want := range map[string]answer{
+		"/metrics":                              {200, "metrics"},
+		"/livez":                                {200, "live\n"},
+		"/readyz":                               {200, "ready\n"},
+		"/debug/state":                          {200, "[\"state\"]\n"},
+		"/debug/requests/abc":                   {200, "\"trail of abc\"\n"},
+		"/contracts/sencnik/status?revision=12": {200, "\"sencnik 12\"\n"},
+	} {
+		require.Equal(t, want, get(t, server, path), path)
+	}
+	for path, status := range map[string]int{
+		"/debug/requests/def":                  404,
+		"/contracts/sencnik/status":            400,
+		"/contracts/sencnik/status?revision=x": 400,
+		"/contracts/sencnik/status?revision=9": 503,
+		"/nothing":                             404,
+	} {
+		require.Equal(t, status, get(t, server, path).Status, path)
+	}
+	require.Contains(t, get(t, server, "/contracts/sencnik/status?revision=9").Body, `"kind":"isolated"`)
+	notReady = fault.New(fault.Stopping, "on its way out")
+	require.Equal(t, 503, get(t, server, "/readyz").Status)
+}
+
+func TestCloseWaitsForAnswers(t *testing.T) {
+	asked := make(chan struct{})
+	server := newServer(t, httpd.Settings{State: func() any {
+		close(asked)
+		time.Sleep(100 * time.Millisecond)
+		return "whole"
+	}})
+	received := make(chan answer, 1)
+	go func() { received <- get(t, server, "/debug/state") }()
+	<-asked
+	require.NoError(t, server.Close())
+	require.Equal(t, answer{200, "\"whole\"\n"}, <-received)
+}
+
+func TestCloseIsBoundedBySilentConnections(t *testing.T) {
+	server := newServer(t, httpd.Settings{})
+	connection, err := net.Dial("tcp", server.Address())
+	require.NoError(t, err)
+	_, err = io.WriteString(connection, "GET /livez")
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	start := time.Now()
+	require.NoError(t, server.Close())
+	require.Less(t, time.Since(start), 4*time.Second)
+	require.NoError(t, connection.Close())
+	_, err = httpd.New(httpd.Settings{Address: "nowhere"})
+	require.Error(t, err)
+}
