--- a/io/pgsrv/ending.go
+++ b/io/pgsrv/ending.go
@@ -13,16 +13,16 @@
 	var v *violation
 	switch {
 	case errors.Is(err, errStopping):
-		c.farewell(stateAdminShutdown, "not run: this instance is stopping; connect to another instance")
+		c.sendFatal(stateAdminShutdown, "not run: this instance is stopping; connect to another instance")
 	case errors.As(err, &v):
 		c.server.counters.Malformed.Add(1)
 		c.stopExchange(false)
-		c.farewell(stateProtocolViolation, "not run: "+v.detail+"; send well-formed messages within the size limit")
+		c.sendFatal(stateProtocolViolation, "not run: "+v.detail+"; send well-formed messages within the size limit")
 	}
 }
 
-// farewell sends a last error and lets the caller read it.
-func (c *caller) farewell(state, text string) {
+// sendFatal sends a last error and lets the caller read it.
+func (c *caller) sendFatal(state, text string) {
 	var r reply
 	r.fail(severityFatal, state, text)
 	c.sendLast(r)
--- a/io/pgsrv/exchange.go
+++ b/io/pgsrv/exchange.go
@@ -64,7 +64,7 @@
 	}
 	if err := x.transmitAll(pieces(p.payload, submitBytes), p.end); err != nil {
 		x.fail(fault.New(fault.OutcomeUnknown, "sending to the owner failed: "+err.Error()))
-		x.hangUp()
+		x.closeStream()
 	}
 	return nil
 }
@@ -193,12 +193,12 @@
 	x.closing = true
 	x.abandoned = abandoned && x.state != exchangeOver
 	x.mutex.Unlock()
-	x.hangUp()
+	x.closeStream()
 	<-x.finished
 }
 
-// hangUp closes the stream and wakes whoever waits on it.
-func (x *exchange) hangUp() {
+// closeStream closes the stream and wakes whoever waits on it.
+func (x *exchange) closeStream() {
 	_ = x.stream.Close()
 	_ = x.stream.SetDeadline(time.Now())
 }
--- a/io/pgsrv/extended.go
+++ b/io/pgsrv/extended.go
@@ -55,7 +55,7 @@
 		c.fail(stateLimitExceeded, fmt.Sprintf("not run: the connection has %d prepared statements; close some first", MaxStatements))
 		return nil
 	}
-	s := &statement{text: p.Query, types: append([]uint32(nil), p.ParameterOIDs...), command: recognise(p.Query)}
+	s := &statement{text: p.Query, parameterTypes: append([]uint32(nil), p.ParameterOIDs...), command: recognise(p.Query)}
 	if cmd := c.commandOf(s.text, s.command); cmd != nil {
 		c.parseLocal(p.Name, s, cmd)
 		return nil
--- a/io/pgsrv/sift.go
+++ b/io/pgsrv/filter.go
@@ -6,17 +6,17 @@
 	"github.com/pkg/errors"
 )
 
-// sifted is what a payload of the owner means for the caller.
-type sifted struct {
+// filtered is what a payload of the owner means for the caller.
+type filtered struct {
 	data    []byte // goes to the caller
 	status  byte   // of ReadyForQuery, zero when the answer goes on
 	copying bool   // the target waits for COPY data
 }
 
-// sift checks a payload against the answer that is owed and leaves out what the caller did not ask for.
-func (a *answer) sift(payload []byte) (sifted, error) {
+// filter checks a payload against the answer that is owed and leaves out what the caller did not ask for.
+func (a *answer) filter(payload []byte) (filtered, error) {
 	s := scanner{rest: payload}
-	result := sifted{data: payload}
+	result := filtered{data: payload}
 	kept, whole := 0, true
 	for {
 		m, encoded, more, err := s.next()
@@ -48,7 +48,7 @@
 }
 
 // note follows the answer and reports whether the caller gets the message.
-func (a *answer) note(m message, result *sifted) (bool, error) {
+func (a *answer) note(m message, result *filtered) (bool, error) {
 	switch m.kind {
 	case kindParseComplete:
 		relay, expected := a.confirm()
@@ -70,7 +70,7 @@
 	return true, nil
 }
 
-func (a *answer) noteReady(m message, result *sifted) error {
+func (a *answer) noteReady(m message, result *filtered) error {
 	if !a.synced {
 		return errors.New("ReadyForQuery before the end of the batch")
 	}
--- a/io/pgsrv/open.go
+++ b/io/pgsrv/open.go
@@ -12,11 +12,8 @@
 	"turmericpulley/io/wire"
 )
 
-const (
-	openTimeout             = 5 * time.Second
-	defaultStatementTimeout = 30 * time.Second
-	defaultQueueTimeout     = 5 * time.Second
-)
+// openTimeout bounds the search for an owner.
+const openTimeout = 5 * time.Second
 
 // open starts a transaction for a batch.
 func (c *caller) open(b *batch, end bool) (*exchange, *fault.Fault) {
@@ -76,14 +73,7 @@
 
 func requestTimeout(contract policy.Contract) time.Duration {
 	contract = contract.WithDefaults()
-	statement, queue := contract.StatementTimeout.Std(), contract.QueueTimeout.Std()
-	if statement <= 0 {
-		statement = defaultStatementTimeout
-	}
-	if queue <= 0 {
-		queue = defaultQueueTimeout
-	}
-	return statement + queue
+	return contract.StatementTimeout.Std() + contract.QueueTimeout.Std()
 }
 
 // asFault returns the fault inside an error, or one of the kind.
--- a/io/pgsrv/owner_test.go
+++ b/io/pgsrv/owner_test.go
@@ -1,49 +1,14 @@
 package pgsrv_test
 
 import (
-	"encoding/binary"
-	"io"
-	"net"
 	"strings"
-	"sync"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/jackc/pgx/v5/pgtype"
-	"google.golang.org/protobuf/proto"
 
 	"turmericpulley/io/wire"
 )
 
-// pipeStream is a Stream over a net.Conn.
-type pipeStream struct {
-	net.Conn
-	mutex sync.Mutex
-}
-
-func (p *pipeStream) Send(frame *wire.Frame) error {
-	data, err := proto.Marshal(frame)
-	if err != nil {
-		return err
-	}
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	_, err = p.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(data))), data...))
-	return err
-}
-
-func (p *pipeStream) Receive() (*wire.Frame, error) {
-	var header [4]byte
-	if _, err := io.ReadFull(p, header[:]); err != nil {
-		return nil, err
-	}
-	data := make([]byte, binary.BigEndian.Uint32(header[:]))
-	if _, err := io.ReadFull(p, data); err != nil {
-		return nil, err
-	}
-	frame := new(wire.Frame)
-	return frame, proto.Unmarshal(data, frame)
-}
-
 // owner runs one transaction by the script that the statements' texts spell.
 type owner struct {
 	stream  *pipeStream
@@ -57,29 +22,6 @@
 	cancel  chan struct{}
 }
 
-// record collects what the owners saw.
-type record struct {
-	mutex      sync.Mutex
-	begins     []*wire.Begin
-	statements []string
-	named      []string
-	ended      int
-	cancels    int
-	largest    int // payload
-}
-
-func (r *record) add(f func(*record)) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	f(r)
-}
-
-func (r *record) snapshot() record {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return record{begins: r.begins, statements: r.statements, named: r.named, ended: r.ended, cancels: r.cancels, largest: r.largest}
-}
-
 func (o *owner) run() {
 	defer o.record.add(func(r *record) { r.ended++ })
 	defer func() { _ = o.stream.Close() }()
@@ -134,7 +76,7 @@
 }
 
 func (o *owner) message(m pgproto3.FrontendMessage, frames chan *wire.Frame) {
-	if sync, ok := m.(*pgproto3.Sync); ok && sync != nil {
+	if _, ok := m.(*pgproto3.Sync); ok {
 		o.ready()
 		return
 	}
@@ -144,7 +86,7 @@
 	switch m := m.(type) {
 	case *pgproto3.Query:
 		for _, text := range strings.Split(m.String, "; ") {
-			o.statement(strings.TrimSpace(text), nil, true, frames)
+			o.statement(strings.TrimSpace(text), true, frames)
 		}
 		if !o.stopped {
 			o.ready()
@@ -164,7 +106,7 @@
 	case *pgproto3.Describe:
 		o.describe(m)
 	case *pgproto3.Execute:
-		o.statement(o.text, nil, false, frames)
+		o.statement(o.text, false, frames)
 	case *pgproto3.Close:
 		o.note(m.Name)
 		o.send(&pgproto3.CloseComplete{})
@@ -222,7 +164,7 @@
 }
 
 // statement acts out one statement.
-func (o *owner) statement(text string, _ []string, describe bool, frames chan *wire.Frame) {
+func (o *owner) statement(text string, describe bool, frames chan *wire.Frame) {
 	if text == "" || o.skip || o.stopped {
 		return
 	}
--- a/io/pgsrv/query_test.go
+++ b/io/pgsrv/query_test.go
@@ -5,6 +5,8 @@
 
 	"github.com/jackc/pgx/v5"
 	"github.com/stretchr/testify/require"
+
+	"turmericpulley/core/policy"
 )
 
 func TestQueryInEveryMode(t *testing.T) {
@@ -120,7 +122,7 @@
 	begin := b.lastBegin()
 	require.Equal(t, "desk-7", begin.Session)
 	require.EqualValues(t, 7, begin.ContractRevision)
-	require.EqualValues(t, 35000, begin.TimeoutMs)
+	require.EqualValues(t, (policy.DefaultStatementTimeout + policy.DefaultQueueTimeout).Milliseconds(), begin.TimeoutMs)
 	require.NotZero(t, begin.StatementHash)
 	require.Eventually(t, func() bool { return len(b.observed()) == 1 }, patience, 1e6)
 	require.EqualValues(t, "a-1", b.observed()[0].Target)
--- a/io/pgsrv/raw_test.go
+++ b/io/pgsrv/raw_test.go
@@ -59,8 +59,8 @@
 	}
 }
 
-// requireGoodbye expects a last error and the end of the connection.
-func requireGoodbye(tb testing.TB, front *pgproto3.Frontend, state string) {
+// requireFatal expects a last error and the end of the connection.
+func requireFatal(tb testing.TB, front *pgproto3.Frontend, state string) {
 	tb.Helper()
 	m, err := front.Receive()
 	require.NoError(tb, err)
@@ -93,14 +93,14 @@
 			front := startUp(t, conn)
 			_, err := conn.Write(garbage)
 			require.NoError(t, err)
-			requireGoodbye(t, front, "08P01")
+			requireFatal(t, front, "08P01")
 		})
 	}
 	for _, garbage := range []string{"GET / HTTP/1.1\r\n\r\n", "\x00\x00\x00\x09\x12\x34\x56\x78\x00", "\x00\x00\x00\x01"} {
 		conn := b.dial()
 		_, err := conn.Write([]byte(garbage))
 		require.NoError(t, err)
-		requireGoodbye(t, pgproto3.NewFrontend(conn, conn), "08P01")
+		requireFatal(t, pgproto3.NewFrontend(conn, conn), "08P01")
 	}
 	require.EqualValues(t, 11, b.server.Counters().Malformed.Load())
 	require.Empty(t, b.record.snapshot().begins)
@@ -158,5 +158,5 @@
 	conn := b.dial()
 	_, err := conn.Write(encode(t, startUpMessage()))
 	require.NoError(t, err)
-	requireGoodbye(t, pgproto3.NewFrontend(conn, conn), "53300")
+	requireFatal(t, pgproto3.NewFrontend(conn, conn), "53300")
 }
--- a/io/pgsrv/relay.go
+++ b/io/pgsrv/relay.go
@@ -14,7 +14,7 @@
 
 // relay passes the owner's answers to the caller until the transaction is over.
 func (x *exchange) relay() {
-	defer x.hangUp()
+	defer x.closeStream()
 	for {
 		frame, err := x.stream.Receive()
 		if err != nil {
@@ -91,18 +91,18 @@
 		}
 		return 0, errLateAnswer
 	}
-	result, err := a.sift(payload)
+	result, err := a.filter(payload)
 	x.mutex.Unlock()
 	if err != nil {
 		return 0, err
 	}
-	return x.hand(a, result), nil
+	return x.deliverPart(a, result), nil
 }
 
-// hand gives the caller a part of its answer and returns the status when it was the last one.
-func (x *exchange) hand(a *answer, result sifted) byte {
+// deliverPart gives the caller a part of its answer and returns the status when it was the last one.
+func (x *exchange) deliverPart(a *answer, result filtered) byte {
 	if err := x.caller.write(result.data); err != nil {
-		x.forsake()
+		x.abandon()
 		return 0
 	}
 	if result.copying {
@@ -145,8 +145,8 @@
 	x.fail(fault.New(fault.NoOwner, "the transaction was rolled back between two statements: "+detail))
 }
 
-// forsake ends a transaction whose caller no longer reads.
-func (x *exchange) forsake() {
+// abandon ends a transaction whose caller no longer reads.
+func (x *exchange) abandon() {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	x.state = exchangeLost
--- a/io/pgsrv/rewrite.go
+++ b/io/pgsrv/rewrite.go
@@ -6,7 +6,7 @@
 
 // appendParse appends a Parse of the unnamed statement.
 func appendParse(dst []byte, s *statement) []byte {
-	return appendMessage(dst, &pgproto3.Parse{Query: s.text, ParameterOIDs: s.types})
+	return appendMessage(dst, &pgproto3.Parse{Query: s.text, ParameterOIDs: s.parameterTypes})
 }
 
 // appendBind appends a Bind that refers to the unnamed statement instead of a named one.
--- a/io/pgsrv/source.go
+++ b/io/pgsrv/source.go
@@ -25,10 +25,10 @@
 	first    [1]byte
 	held     bool
 	maxBytes int
-	patient  bool // a message that has begun outlasts interruptions
+	patient  bool // reading goes on after an interruption inside a message
 }
 
-// Read gives the buffer what the connection holds and outlasts interruptions.
+// Read reads from the connection for the buffer; inside a message it retries after an interruption.
 func (s *source) Read(p []byte) (int, error) {
 	if s.held {
 		s.held = false
--- a/io/pgsrv/startup.go
+++ b/io/pgsrv/startup.go
@@ -38,7 +38,7 @@
 	}
 	if state, text := c.adopt(m.Parameters); state != "" {
 		c.server.counters.ConnectionsRefused.Add(1)
-		c.farewell(state, text)
+		c.sendFatal(state, text)
 		return false
 	}
 	if _, _, f := c.server.authorize(c.customer, c.database); f != nil {
@@ -96,7 +96,7 @@
 func (c *caller) refuseExcess() {
 	c.server.counters.ConnectionsRefused.Add(1)
 	limit := c.server.settings.MaxConnections
-	c.farewell(stateTooManyConnections,
+	c.sendFatal(stateTooManyConnections,
 		fmt.Sprintf("not run: this instance has %d connections, its most; connect to another instance", limit))
 }
 
