--- a/io/httpd/server_test.go
+++ b/io/httpd/server_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -30,12 +31,19 @@
 
 func get(t *testing.T, server *httpd.Server, path string) answer {
 	t.Helper()
-	response, err := http.Get("http://" + server.Address() + path)
+	got, err := ask(server, path)
 	require.NoError(t, err)
-	defer func() { require.NoError(t, response.Body.Close()) }()
+	return got
+}
+
+func ask(server *httpd.Server, path string) (answer, error) {
+	response, err := http.Get("http://" + server.Address() + path)
+	if err != nil {
+		return answer{}, err
+	}
 	body, err := io.ReadAll(response.Body)
-	require.NoError(t, err)
-	return answer{Status: response.StatusCode, Body: string(body)}
+	_ = response.Body.Close()
+	return answer{Status: response.StatusCode, Body: string(body)}, err
 }
 
 func newServer(t *testing.T, settings httpd.Settings) *httpd.Server {
@@ -96,7 +104,10 @@
 		return "whole"
 	}})
 	received := make(chan answer, 1)
-	go func() { received <- get(t, server, "/debug/state") }()
+	go func() {
+		got, _ := ask(server, "/debug/state")
+		received <- got
+	}()
 	<-asked
 	require.NoError(t, server.Close())
 	require.Equal(t, answer{200, "\"whole\"\n"}, <-received)
@@ -112,6 +123,10 @@
 	start := time.Now()
 	require.NoError(t, server.Close())
 	require.Less(t, time.Since(start), 4*time.Second)
+	require.NoError(t, connection.SetReadDeadline(time.Now().Add(time.Second)))
+	_, err = connection.Read(make([]byte, 1))
+	require.Error(t, err)
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the connection is still open")
 	require.NoError(t, connection.Close())
 	_, err = httpd.New(httpd.Settings{Address: "nowhere"})
 	require.Error(t, err)
