--- /dev/null
+++ b/io/peers/control_test.go
@@ -0,0 +1,99 @@
+package peers_test
+
+import (
+	"fmt"
+	"runtime"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"turmericpulley/core/fleet"
+	"turmericpulley/core/types"
+	"turmericpulley/io/peers"
+)
+
+// measuredSpan is how long BenchmarkControl measures each time.
+const measuredSpan = 5 * time.Second
+
+// BenchmarkControl measures what an instance spends on control while nothing happens, in fleets of several sizes.
+func BenchmarkControl(b *testing.B) {
+	for _, size := range []int{9, 40, 120} {
+		b.Run(fmt.Sprintf("instances=%d", size), func(b *testing.B) {
+			services := startMany(b, size, newMemoryStore())
+			for b.Loop() {
+				measureControl(b, services)
+			}
+		})
+	}
+}
+
+func startMany(b *testing.B, size int, store *memoryStore) []*peers.Service {
+	b.Helper()
+	services := make([]*peers.Service, 0, size)
+	for index := range size {
+		self := fleet.Instance{ID: types.InstanceID(fmt.Sprintf("i%03d", index)), PeerAddress: "127.0.0.1:0"}
+		self.DataCentre = types.DataCentre(fmt.Sprintf("dc-%d", index%3))
+		s, err := peers.New(peers.Settings{Self: self, Region: "region", Store: store})
+		require.NoError(b, err)
+		services = append(services, s)
+	}
+	b.Cleanup(func() {
+		closing := sync.WaitGroup{}
+		for _, s := range services {
+			closing.Go(s.Close)
+		}
+		closing.Wait()
+	})
+	for _, s := range services {
+		require.Eventually(b, func() bool { return len(s.Membership().Live()) == size && s.Fresh() == nil }, 30*time.Second, often)
+	}
+	return services
+}
+
+func measureControl(b *testing.B, services []*peers.Service) {
+	b.Helper()
+	bytes, busy, beats, stale := sent(services), processorTime(b), heartbeats(services), 0
+	for range 100 {
+		time.Sleep(measuredSpan / 100)
+		for _, s := range services {
+			if s.Fresh() != nil {
+				stale++
+			}
+		}
+	}
+	perInstance := 1 / float64(len(services)) / measuredSpan.Seconds()
+	memory := runtime.MemStats{}
+	runtime.GC()
+	runtime.ReadMemStats(&memory)
+	b.ReportMetric(float64(sent(services)-bytes)*perInstance, "sent-B/s")
+	b.ReportMetric(float64(heartbeats(services)-beats)*perInstance, "heartbeats/s")
+	b.ReportMetric((processorTime(b)-busy).Seconds()*perInstance*100, "core-%")
+	b.ReportMetric(float64(memory.HeapInuse+memory.StackInuse)/float64(len(services)), "B/instance")
+	b.ReportMetric(float64(stale), "stale-samples")
+}
+
+func sent(services []*peers.Service) uint64 {
+	total := uint64(0)
+	for _, s := range services {
+		total += s.Counters().BytesSent.Load()
+	}
+	return total
+}
+
+func heartbeats(services []*peers.Service) uint64 {
+	total := uint64(0)
+	for _, s := range services {
+		total += s.Counters().Heartbeats.Load()
+	}
+	return total
+}
+
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	usage := syscall.Rusage{}
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/io/peers/docwatch.go
+++ b/io/peers/docwatch.go
@@ -58,12 +58,14 @@
 	d.running.Wait()
 }
 
-// follow lists changes after the revision for as long as the instance is a watcher.
+// follow lists changes after the revision for as long as the instance is a watcher; the first listing does not wait, so
+// that it confirms at once.
 func (d *docwatch) follow(ctx context.Context, after types.Revision) {
 	pause := backoff{least: leastStorePause, most: mostWatchPause}
+	wait := time.Duration(0)
 	for ctx.Err() == nil && d.node.isStoreWatcher() {
 		sent := time.Now()
-		page, err := d.list(ctx, after)
+		page, err := d.list(ctx, after, wait)
 		if err != nil {
 			sleep(ctx, pause.pause())
 			continue
@@ -71,15 +73,16 @@
 		pause.reset()
 		d.take(page)
 		after = max(after, page.Revision)
-		d.node.records.confirmed(d.prefix, relay.ConfirmedAt(sent, time.Now(), d.wait, len(page.Entries)))
+		d.node.records.confirmed(d.prefix, relay.ConfirmedAt(sent, time.Now(), wait, len(page.Entries)))
+		wait = d.wait
 	}
 }
 
-func (d *docwatch) list(ctx context.Context, after types.Revision) (relay.Page, error) {
-	ctx, cancel := storeContext(ctx, d.wait)
+func (d *docwatch) list(ctx context.Context, after types.Revision, wait time.Duration) (relay.Page, error) {
+	ctx, cancel := storeContext(ctx, wait)
 	defer cancel()
 	d.node.counters.StoreCalls.Add(1)
-	page, err := d.node.settings.Store.List(ctx, d.prefix, after, d.wait)
+	page, err := d.node.settings.Store.List(ctx, d.prefix, after, wait)
 	if err != nil {
 		d.node.counters.StoreFailures.Add(1)
 	}
