feat: decide when a change of a contract is accepted

A change is accepted when every live instance has it in force, or when a majority has and every other has been silent for 3 s since: an isolated instance takes work only while a majority or the store confirms its contracts, and two majorities have a member in common. The 3 s run from the majority and not from the store: counted from the store, a rapid test found an instance still working by the old contract.

--- /dev/null
+++ b/core/accept/progress_test.go
@@ -0,0 +1,103 @@
+package accept_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"turmericpulley/core/accept"
+	"turmericpulley/core/fleet"
+	"turmericpulley/core/types"
+)
+
+func membersOf(ids ...types.InstanceID) fleet.Membership {
+	m := fleet.Membership{Revision: 1}
+	for _, id := range ids {
+		m.Instances = append(m.Instances, fleet.Instance{ID: id, Incarnation: 1, State: fleet.Live})
+	}
+	return m
+}
+
+func TestAcceptance(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := start.Add
+	three := membersOf("a", "b", "c")
+
+	p := accept.New(start)
+	p.Follow(membersOf(), start)
+	require.True(t, p.State(start).Accepted(), "without instances, stored is enough")
+
+	p = accept.New(start)
+	p.Follow(three, start)
+	require.Equal(t, []types.InstanceID{"a", "b", "c"}, p.State(at(time.Hour)).Waiting, "silence alone proves nothing")
+	p.Answered("a", []types.InstanceID{"a"}, at(time.Second))
+	require.False(t, p.State(at(time.Hour)).Accepted(), "one of three is no majority")
+	p.Answered("a", []types.InstanceID{"a", "b"}, at(2*time.Second))
+	require.Equal(t, []types.InstanceID{"c"}, p.State(at(4900*time.Millisecond)).Waiting, "the bound runs from the majority")
+	require.Equal(t, []types.InstanceID{"c"}, p.State(at(5*time.Second)).Isolated)
+	require.True(t, p.State(at(5*time.Second)).Accepted())
+
+	p.Answered("c", nil, at(6*time.Second))
+	require.False(t, p.State(at(8*time.Second)).Accepted(), "one that answers takes work")
+	require.True(t, p.State(at(9*time.Second)).Accepted())
+	p.Answered("b", []types.InstanceID{"c"}, at(9*time.Second))
+	require.Len(t, p.State(at(9*time.Second)).InForce, 3)
+
+	restarted := membersOf("a", "b", "c")
+	restarted.Instances[0].Incarnation = 2
+	p.Follow(restarted, at(10*time.Second))
+	require.Equal(t, []types.InstanceID{"a"}, p.State(at(10*time.Second)).Waiting, "a new incarnation starts without documents")
+
+	leaving := membersOf("a", "b")
+	leaving.Instances[1].State = fleet.Leaving
+	p = accept.New(start)
+	p.Follow(leaving, start)
+	p.Answered("a", []types.InstanceID{"a"}, start)
+	require.True(t, p.State(start).Accepted(), "a leaving instance takes no new work")
+}
+
+// Instances without the change may take work while they confirmed their contracts within the freshness bound, by the
+// store before the change or by a majority of instances without it.
+func TestAcceptedMeansThatNoInstanceWorksByTheOldContract(t *testing.T) {
+	const freshness = 2 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		ids := []types.InstanceID{"a", "b", "c", "d", "e"}
+		members := membersOf(ids...)
+		start := time.Unix(1000, 0)
+		p := accept.New(start)
+		p.Follow(members, start)
+		held := map[types.InstanceID]bool{}
+		confirmed := map[types.InstanceID]time.Time{}
+		for _, id := range ids {
+			confirmed[id] = start
+		}
+		now := start
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			id := rapid.SampledFrom(ids).Draw(t, "id")
+			switch rapid.IntRange(0, 3).Draw(t, "action") {
+			case 0:
+				held[id] = true
+			case 1:
+				if 2*(len(ids)-len(held)) > len(ids) {
+					confirmed[id] = now
+				}
+			default:
+				var known []types.InstanceID
+				if held[id] {
+					known = append(known, id)
+				}
+				p.Answered(id, known, now)
+			}
+			if !p.State(now).Accepted() {
+				continue
+			}
+			for _, other := range ids {
+				fresh := now.Sub(confirmed[other]) < freshness
+				require.False(t, !held[other] && fresh, "%s works by the old contract", other)
+			}
+		}
+	})
+}
