--- a/io/check/cut_test.go
+++ b/io/check/cut_test.go
@@ -7,75 +7,130 @@
 	"github.com/stretchr/testify/require"
 
 	"turmericpulley/io/check"
+	"turmericpulley/io/fakekv"
 )
 
-func TestPrimaryCutInOneDirection(t *testing.T) {
-	for name, direction := range map[string]check.Direction{"requests": check.Upstream, "answers": check.Downstream} {
-		t.Run(name, func(t *testing.T) {
-			f := check.NewFleet(t, check.DefaultLayout())
-			primary := f.Members[0][0]
-			underLoad(t, f, maxCutGap, func() {
-				f.CutMember(primary, f.Instances, direction)
-				time.Sleep(3 * time.Second)
-				f.HealMember(primary)
-			})
-		})
-	}
+// cutSpan is how long a cut lasts.
+const cutSpan = 3 * time.Second
+
+// cutPrimary cuts the primary off in the directions for a while.
+func cutPrimary(t *testing.T, directions ...check.Direction) {
+	t.Helper()
+	f := check.NewFleet(t, check.DefaultLayout())
+	primary := f.Members[0][0]
+	underLoad(t, f, maxCutGap, func() {
+		f.CutMember(primary, f.Instances, directions...)
+		time.Sleep(cutSpan)
+		f.HealMember(primary)
+	})
+}
+
+func TestPrimaryReceivesNothing(t *testing.T) {
+	t.Parallel()
+	cutPrimary(t, check.Upstream)
+}
+
+func TestPrimaryIsNotHeard(t *testing.T) {
+	t.Parallel()
+	cutPrimary(t, check.Downstream)
+}
+
+func TestPrimaryCutOff(t *testing.T) {
+	t.Parallel()
+	cutPrimary(t, check.Upstream, check.Downstream)
 }
 
 // The primary stays reachable for one instance that does not own the database, and for that instance's callers.
 func TestPrimaryCutFromAllButOneInstance(t *testing.T) {
+	t.Parallel()
 	f := check.NewFleet(t, check.DefaultLayout())
 	primary := f.Members[0][0]
 	underLoad(t, f, maxCutGap, func() {
 		spared := f.Others(f.Owner(0))[0]
 		f.CutMember(primary, f.Others(spared), check.Upstream, check.Downstream)
-		time.Sleep(3 * time.Second)
+		time.Sleep(cutSpan)
 		f.HealMember(primary)
 	})
 }
 
 func TestOwnerCutFromItsPeers(t *testing.T) {
+	t.Parallel()
+	f := check.NewFleet(t, check.DefaultLayout())
+	owner := f.Owner(0)
+	underLoad(t, f, maxCutGap, func() {
+		owner.CutPeers(f.Others(owner))
+		time.Sleep(cutSpan)
+		f.HealPeers()
+	})
+}
+
+// The owner is cut from its peers and from every member, but not from its callers.
+func TestOwnerCutOff(t *testing.T) {
+	t.Parallel()
 	f := check.NewFleet(t, check.DefaultLayout())
 	owner := f.Owner(0)
 	underLoad(t, f, maxCutGap, func() {
 		owner.CutPeers(f.Others(owner))
-		time.Sleep(3 * time.Second)
-		for _, i := range f.Instances {
-			for _, link := range i.Peers {
-				link.Heal()
-			}
+		for _, link := range owner.Members {
+			link.CutBoth()
+		}
+		time.Sleep(cutSpan)
+		f.HealPeers()
+		for _, link := range owner.Members {
+			link.Heal()
 		}
 	})
 }
 
 func TestPlatformDownDuringPromotion(t *testing.T) {
+	t.Parallel()
 	f := check.NewFleet(t, check.DefaultLayout())
 	underLoad(t, f, maxKillGap, func() {
 		f.CutPlatform()
 		f.Members[0][0].Kill()
-		time.Sleep(3 * time.Second)
+		time.Sleep(cutSpan)
 		f.HealPlatform()
 	})
 	require.NotEqual(t, f.Members[0][0], f.Primary(0))
 }
 
-// Connections that are open go silent for good while new ones work, on each kind of link in turn.
-func TestSilentConnections(t *testing.T) {
+func TestOwnerKilledWithThePlatformDown(t *testing.T) {
+	t.Parallel()
 	f := check.NewFleet(t, check.DefaultLayout())
 	owner := f.Owner(0)
-	cases := map[string]func(){
-		"owner to primary": func() { owner.Members[f.Members[0][0].Target].Silence() },
-		"instance to owner": func() {
-			for _, i := range f.Others(owner) {
-				i.Peers[owner.ID].Silence()
-				owner.Peers[i.ID].Silence()
-			}
-		},
-	}
-	for name, silence := range cases {
-		t.Run(name, func(t *testing.T) {
-			underLoad(t, f, maxCutGap, silence)
-		})
-	}
+	underLoad(t, f, maxCutGap, func() {
+		f.CutPlatform()
+		owner.Kill()
+		time.Sleep(cutSpan)
+		f.HealPlatform()
+	})
+}
+
+func TestOwnerKilledWhileThePlatformLosesAnswers(t *testing.T) {
+	t.Parallel()
+	f := check.NewFleet(t, check.DefaultLayout())
+	owner := f.Owner(0)
+	underLoad(t, f, maxCutGap, func() {
+		f.Platform.SetFaults(fakekv.Faults{LoseAnswers: 3, DelayMs: 100})
+		owner.Kill()
+	})
+}
+
+// Connections that are open go silent for good while new ones work.
+func TestOwnerToPrimaryGoesSilent(t *testing.T) {
+	t.Parallel()
+	f := check.NewFleet(t, check.DefaultLayout())
+	underLoad(t, f, maxSilenceGap, f.Owner(0).Members[f.Members[0][0].Target].Silence)
+}
+
+func TestInstancesToOwnerGoSilent(t *testing.T) {
+	t.Parallel()
+	f := check.NewFleet(t, check.DefaultLayout())
+	owner := f.Owner(0)
+	underLoad(t, f, maxSilenceGap, func() {
+		for _, i := range f.Others(owner) {
+			i.Peers[owner.ID].Silence()
+			owner.Peers[i.ID].Silence()
+		}
+	})
 }
--- a/io/check/failover_test.go
+++ b/io/check/failover_test.go
@@ -14,6 +14,13 @@
 const (
 	maxKillGap load.Milliseconds = 3000
 	maxCutGap  load.Milliseconds = 5000
+	// maxSilenceGap is how long a silent connection may stay in use.
+	maxSilenceGap load.Milliseconds = 3000
+)
+
+const (
+	rejoinTimeout = 10 * time.Second
+	rejoinPoll    = 50 * time.Millisecond
 )
 
 // underLoad runs a load, lets the fault strike, and requires a clean history and a bounded gap.
@@ -27,17 +34,20 @@
 }
 
 func TestPrimaryKilled(t *testing.T) {
+	t.Parallel()
 	f := check.NewFleet(t, check.DefaultLayout())
 	underLoad(t, f, maxKillGap, f.Members[0][0].Kill)
 	require.NotEqual(t, f.Members[0][0], f.Primary(0))
 }
 
 func TestOwnerKilled(t *testing.T) {
+	t.Parallel()
 	f := check.NewFleet(t, check.DefaultLayout())
 	underLoad(t, f, maxKillGap, f.Owner(0).Kill)
 }
 
 func TestOwnerAndPrimaryKilled(t *testing.T) {
+	t.Parallel()
 	f := check.NewFleet(t, check.DefaultLayout())
 	underLoad(t, f, maxCutGap, func() {
 		f.Owner(0).Kill()
@@ -46,6 +56,7 @@
 }
 
 func TestPrimaryPausedPastItsReplacement(t *testing.T) {
+	t.Parallel()
 	f := check.NewFleet(t, check.DefaultLayout())
 	paused := f.Members[0][0]
 	underLoad(t, f, maxCutGap, func() {
@@ -59,6 +70,7 @@
 }
 
 func TestOwnerPausedPastItsReplacement(t *testing.T) {
+	t.Parallel()
 	f := check.NewFleet(t, check.DefaultLayout())
 	owner := f.Owner(0)
 	underLoad(t, f, maxCutGap, func() {
@@ -67,3 +79,47 @@
 		owner.Resume()
 	})
 }
+
+// The old primary appends writes that no replica receives, dies, and returns with that tail after its replacement.
+func TestPrimaryReturnsWithALongerTail(t *testing.T) {
+	t.Parallel()
+	f := check.NewFleet(t, check.DefaultLayout())
+	old := f.Members[0][0]
+	underLoad(t, f, maxCutGap, func() {
+		old.Replication.CutBoth()
+		time.Sleep(300 * time.Millisecond)
+		old.Kill()
+		old.Replication.Heal()
+		time.Sleep(time.Second)
+		old.Start()
+	})
+	require.Eventually(t, func() bool {
+		status, err := old.Status()
+		return err == nil && status.Role == "replica" && status.Discarded > 0
+	}, rejoinTimeout, rejoinPoll, "the old primary did not discard its tail")
+}
+
+// The replacement stops before it has served for long.
+func TestSecondPrimaryFailsDuringThePromotion(t *testing.T) {
+	t.Parallel()
+	f := check.NewFleet(t, check.DefaultLayout())
+	underLoad(t, f, maxCutGap, func() {
+		f.Members[0][0].Kill()
+		time.Sleep(100 * time.Millisecond)
+		for _, m := range f.Members[0][1:] {
+			m.Pause()
+			time.Sleep(400 * time.Millisecond)
+			m.Resume()
+		}
+		f.Members[0][0].Start()
+	})
+}
+
+// Replicas are far behind when the primary dies; every session roams between instances.
+func TestPrimaryKilledWithLaggingReplicas(t *testing.T) {
+	t.Parallel()
+	layout := check.DefaultLayout()
+	layout.ApplyLag = 500 * time.Millisecond
+	f := check.NewFleet(t, layout)
+	underLoad(t, f, maxKillGap, f.Members[0][0].Kill)
+}
--- a/io/check/faults.go
+++ b/io/check/faults.go
@@ -32,3 +32,12 @@
 		i.Platform.Heal()
 	}
 }
+
+// HealPeers restores the paths between the instances.
+func (f *Fleet) HealPeers() {
+	for _, i := range f.Instances {
+		for _, link := range i.Peers {
+			link.Heal()
+		}
+	}
+}
--- a/io/check/fleet.go
+++ b/io/check/fleet.go
@@ -15,9 +15,14 @@
 const (
 	// readyTimeout bounds the wait for the processes of a fleet.
 	readyTimeout = 20 * time.Second
+	// maxFleets bounds the fleets of parallel tests, so that they measure the program and not the machine.
+	maxFleets    = 4
 	pollInterval = 20 * time.Millisecond
 )
 
+// fleets holds one entry for each running fleet.
+var fleets = make(chan struct{}, maxFleets)
+
 // Fleet is a platform, members and instances, each in a process of its own, with a link on every path.
 type Fleet struct {
 	tb        testing.TB
@@ -31,6 +36,8 @@
 // NewFleet starts the processes of the layout and waits until every instance is ready.
 func NewFleet(tb testing.TB, layout Layout) *Fleet {
 	tb.Helper()
+	fleets <- struct{}{}
+	tb.Cleanup(func() { <-fleets })
 	f := &Fleet{tb: tb, layout: layout}
 	for d := range layout.Databases {
 		f.Members = append(f.Members, f.newMembers(d))
--- a/io/check/leave_test.go
+++ b/io/check/leave_test.go
@@ -19,6 +19,7 @@
 }
 
 func TestPrimaryLeaves(t *testing.T) {
+	t.Parallel()
 	f := check.NewFleet(t, check.DefaultLayout())
 	result := underLoad(t, f, maxKillGap, f.Members[0][0].Terminate)
 	requireNoneCut(t, result)
@@ -27,6 +28,7 @@
 }
 
 func TestPlannedStopCutsNoRequest(t *testing.T) {
+	t.Parallel()
 	f := check.NewFleet(t, check.DefaultLayout())
 	owner := f.Owner(0)
 	result := underLoad(t, f, maxKillGap, owner.Terminate)
--- a/io/check/owner.go
+++ b/io/check/owner.go
@@ -27,9 +27,19 @@
 	return report, errors.Wrapf(err, "reading the state of %s", i.ID)
 }
 
-// Owner returns the instance that owns the database in the highest epoch.
+// Owner waits until an instance owns the database and returns the one with the highest epoch.
 func (f *Fleet) Owner(database int) *Instance {
 	f.tb.Helper()
+	var owner *Instance
+	require.Eventually(f.tb, func() bool {
+		owner = f.presentOwner(f.layout.databaseID(database))
+		return owner != nil
+	}, readyTimeout, pollInterval, "no instance owns the database")
+	return owner
+}
+
+// presentOwner returns the instance that owns the database in the highest epoch, nil when none does.
+func (f *Fleet) presentOwner(database types.DatabaseID) *Instance {
 	var owner *Instance
 	var epoch types.Epoch
 	for _, i := range f.Instances {
@@ -38,13 +48,12 @@
 			continue
 		}
 		for _, held := range report.Databases {
-			if held.Database == f.layout.databaseID(database) && held.Epoch >= epoch {
+			if held.Database == database && held.Epoch >= epoch {
 				owner = i
 				epoch = held.Epoch
 			}
 		}
 	}
-	require.NotNil(f.tb, owner, "no instance owns the database")
 	return owner
 }
 
--- a/io/check/path_test.go
+++ b/io/check/path_test.go
@@ -4,13 +4,17 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"turmericpulley/io/check"
+	"turmericpulley/io/load"
 )
 
 // faultDelay is when a fault strikes a running load.
 const faultDelay = 1500 * time.Millisecond
 
 func TestWholePath(t *testing.T) {
+	t.Parallel()
 	f := check.NewFleet(t, check.DefaultLayout())
 	settings := f.Load()
 	settings.Duration = 3 * time.Second
@@ -18,3 +22,22 @@
 	result := f.Run(settings, faultDelay, func() {})
 	f.RequireClean(result)
 }
+
+// Unknown outcomes are repeated under their request keys while instances and the primary die.
+func TestRequestKeysUnderFaults(t *testing.T) {
+	t.Parallel()
+	f := check.NewFleet(t, check.DefaultLayout())
+	settings := f.Load()
+	settings.Workload = load.Kiosk
+	settings.WriteShare = 0.6
+	settings.RequestKeys = true
+	result := f.Run(settings, faultDelay, func() {
+		f.Owner(0).Kill()
+		time.Sleep(1500 * time.Millisecond)
+		f.Primary(0).Kill()
+	})
+	f.RequireClean(result)
+	for _, class := range result.Classes {
+		require.Zero(t, class.Unknown, "%s with an outcome that its key did not resolve", class.Class)
+	}
+}
