fix: a block keeps the term under which it began

Cause: continueBlock asked for the present term, so a COMMIT that a resumed old primary answered was confirmed against the log of its successor. Seen failing first: TestPrimaryPausedPastItsReplacement, 4 acknowledged writes lost.

--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -22,7 +22,7 @@
 	region     string
 	dataCentre string
 	seeds      string
-	links      map[string]string
+	links      []string
 	logLevel   string
 	logJSON    bool
 	check      bool
@@ -47,7 +47,7 @@
 	flag("max-connections", "Most connections of callers; 0 takes the default.").IntVar(&c.settings.MaxConnections)
 	flag("stop-timeout", "Longest that a planned stop waits for requests.").
 		Default(server.DefaultStopTimeout.String()).DurationVar(&c.settings.StopTimeout)
-	flag("link", "REAL=VIA: dial VIA where REAL is meant; for tests.").StringMapVar(&c.links)
+	flag("link", "REAL=VIA: dial VIA where REAL is meant; for tests.").StringsVar(&c.links)
 	flag("log-level", "Lowest level of log lines.").Default("info").EnumVar(&c.logLevel, "debug", "info", "warn", "error")
 	flag("log-json", "Write log lines as JSON.").BoolVar(&c.logJSON)
 	clause.Flag("check", "Only check the settings.").BoolVar(&c.check)
@@ -80,7 +80,11 @@
 	c.settings.ID = types.InstanceID(c.id)
 	c.settings.Region = types.Region(c.region)
 	c.settings.DataCentre = types.DataCentre(c.dataCentre)
-	c.settings.Links = c.links
+	c.settings.Links = map[string]string{}
+	for _, link := range c.links {
+		address, via, _ := strings.Cut(link, "=")
+		c.settings.Links[address] = via
+	}
 	if c.seeds != "" {
 		c.settings.Seeds = strings.Split(c.seeds, ",")
 	}
--- a/io/owner/block.go
+++ b/io/owner/block.go
@@ -5,17 +5,15 @@
 	"time"
 
 	"turmericpulley/core/fault"
-	"turmericpulley/core/types"
 	"turmericpulley/io/pgcli"
 )
 
 // idleTransactionLimit bounds how long a transaction block may hold a connection without a statement.
 const idleTransactionLimit = time.Minute
 
-// continueBlock keeps a connection for the batches of a transaction block until the block ends.
-func (t *transaction) continueBlock(ctx context.Context, c *pooled, p *pool, target types.TargetID, onReplica bool, a *answer) error {
-	_, term := t.owner.state.primaryAndTerm()
-	g := grant{conn: c, pool: p, target: target, term: term}
+// continueBlock keeps a connection for the batches of a transaction block until the block ends. The grant's term stays
+// the one under which the block began, so that a primary replaced meanwhile cannot have the block confirmed.
+func (t *transaction) continueBlock(ctx context.Context, g grant, onReplica bool, a *answer) error {
 	streamContext := context.WithoutCancel(ctx)
 	for {
 		if !t.owner.state.leaseHolds() {
--- a/io/owner/keyed.go
+++ b/io/owner/keyed.go
@@ -59,7 +59,7 @@
 		g.release(false)
 		return t.primaryFailed(ctx, err)
 	}
-	return t.continueBlock(ctx, g.conn, g.pool, g.target, false, a)
+	return t.continueBlock(ctx, g, false, a)
 }
 
 // refuseKeyed gives up before the request itself was sent, such as when another run of it holds the record.
--- a/io/owner/primary.go
+++ b/io/owner/primary.go
@@ -51,7 +51,7 @@
 		if a.status == pgcli.StatusIdle {
 			return t.confirm(ctx, g, &a)
 		}
-		return t.continueBlock(ctx, g.conn, g.pool, g.target, false, &a)
+		return t.continueBlock(ctx, g, false, &a)
 	}
 }
 
--- a/io/owner/replica.go
+++ b/io/owner/replica.go
@@ -82,7 +82,8 @@
 		t.note(trace.Event{What: trace.Retried, Target: r.target, Replica: true, Detail: "the replica refused a write"})
 		return tryPrimary, nil
 	case a.status != pgcli.StatusIdle && t.begin.GetReadOnly():
-		return answered, t.continueBlock(ctx, c, p, r.target, true, &a)
+		_, term := t.owner.state.primaryAndTerm()
+		return answered, t.continueBlock(ctx, grant{conn: c, pool: p, target: r.target, term: term}, true, &a)
 	case a.status != pgcli.StatusIdle:
 		p.put(c, false)
 		t.owner.settings.Writes.Learn(t.begin.GetStatementHash())
