feat: commands for contracts, status and explain

Operators drive the system only by contracts, so apply has to say truly what became of a change. It is a compare-and-swap on the revision that was read; a write whose answer was lost is found by its change id in the value or its history, or repeated with the same expected revision, which the store carries out once at most. Accepted is said when no instance takes new work by an older contract.

--- /dev/null
+++ b/cmd/contractapply.go
@@ -0,0 +1,93 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"turmericpulley/core/types"
+	"turmericpulley/io/admin"
+)
+
+// contractApplyCommand stores a contract and waits until it governs everywhere.
+type contractApplyCommand struct {
+	flags    *operatorFlags
+	file     string
+	revision uint64
+	given    bool
+}
+
+func newContractApplyCommand(parent *kingpin.CmdClause, commands map[string]command) {
+	c := &contractApplyCommand{}
+	clause := parent.Command("apply", "Store a contract and wait until it governs everywhere.")
+	clause.Arg("file", "File of the contract, - for standard input.").Required().StringVar(&c.file)
+	clause.Flag("revision", "Revision that the contract must still have; 0 when there must be none.").
+		IsSetByUser(&c.given).Uint64Var(&c.revision)
+	c.flags = newOperatorFlags(clause)
+	commands[clause.FullCommand()] = c
+}
+
+func (c *contractApplyCommand) run(out, problems io.Writer) int {
+	contract, err := readContractFile(c.file)
+	if err != nil {
+		return fail(problems, err)
+	}
+	client, err := c.flags.client()
+	if err != nil {
+		return fail(problems, err)
+	}
+	defer func() { _ = client.Close() }()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	result := client.Apply(ctx, contract, admin.Base{Given: c.given, Revision: types.Revision(c.revision)})
+	if c.flags.json {
+		return printJSON(out, problems, result, exitCodeOf(result.Outcome))
+	}
+	printResult(out, problems, result)
+	return exitCodeOf(result.Outcome)
+}
+
+func exitCodeOf(outcome admin.Outcome) int {
+	switch outcome {
+	case admin.Accepted:
+		return exitOK
+	case admin.Conflict:
+		return exitConflict
+	case admin.Pending:
+		return exitPending
+	case admin.Unknown:
+		return exitUnknown
+	default:
+		return exitFailed
+	}
+}
+
+func printResult(out, problems io.Writer, result admin.Result) {
+	if result.Outcome != admin.Accepted && result.Outcome != admin.Pending {
+		_, _ = fmt.Fprintf(problems, "%s: %s: %s\n", result.Customer, result.Outcome, result.Detail)
+		return
+	}
+	_, _ = fmt.Fprintf(out, "%s: %s, revision %s, change %s\n", result.Customer, result.Outcome, result.Revision, result.ChangeID)
+	printInstances(out, "in force at", result.InForce)
+	printInstances(out, "isolated, taking no work", result.Isolated)
+	printInstances(out, "waiting for", result.Waiting)
+	if result.Detail != "" {
+		_, _ = fmt.Fprintln(problems, result.Detail)
+	}
+}
+
+func printInstances(out io.Writer, label string, ids []types.InstanceID) {
+	if len(ids) == 0 {
+		return
+	}
+	names := make([]string, 0, len(ids))
+	for _, id := range ids {
+		names = append(names, string(id))
+	}
+	_, _ = fmt.Fprintf(out, "  %s: %s\n", label, strings.Join(names, ", "))
+}
--- /dev/null
+++ b/cmd/contracthistory.go
@@ -0,0 +1,60 @@
+package cmd
+
+import (
+	"io"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"turmericpulley/core/policy"
+	"turmericpulley/io/admin"
+)
+
+// contractHistoryCommand shows the latest changes of a customer's contract.
+type contractHistoryCommand struct {
+	flags    *operatorFlags
+	customer string
+}
+
+func newContractHistoryCommand(parent *kingpin.CmdClause, commands map[string]command) {
+	c := &contractHistoryCommand{}
+	clause := parent.Command("history", "Show the latest changes of a customer's contract.")
+	clause.Arg("customer", "Name of the customer.").Required().StringVar(&c.customer)
+	c.flags = newOperatorFlags(clause)
+	commands[clause.FullCommand()] = c
+}
+
+func (c *contractHistoryCommand) run(out, problems io.Writer) int {
+	version, err := c.flags.readContract(c.customer)
+	if err != nil {
+		return fail(problems, err)
+	}
+	changes := changesOf(version)
+	if c.flags.json {
+		return printJSON(out, problems, changes, exitOK)
+	}
+	rows := [][]string{{"REVISION", "CHANGE", "CHANGED AT", "OPERATOR"}}
+	for _, change := range changes {
+		rows = append(rows, []string{change.Revision.String(), change.ChangeID, showTime(change.ChangedAt), change.Operator})
+	}
+	printTable(out, rows)
+	return exitOK
+}
+
+// changesOf lists the present version and those before it, newest first.
+func changesOf(version admin.Version) []policy.Change {
+	present := policy.Change{
+		ChangeID:  version.Contract.ChangeID,
+		Revision:  version.Revision,
+		ChangedAt: version.Contract.ChangedAt,
+		Operator:  version.Contract.Operator,
+	}
+	return append([]policy.Change{present}, version.Contract.History...)
+}
+
+func showTime(at time.Time) string {
+	if at.IsZero() {
+		return "unknown"
+	}
+	return at.Format(time.RFC3339)
+}
--- /dev/null
+++ b/cmd/fleet.go
@@ -0,0 +1,43 @@
+package cmd
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"turmericpulley/core/fleet"
+	"turmericpulley/io/admin"
+)
+
+// fleetFlags are the flags of commands that ask every instance.
+type fleetFlags struct {
+	*operatorFlags
+	instances []string
+}
+
+func newFleetFlags(clause *kingpin.CmdClause) *fleetFlags {
+	f := &fleetFlags{operatorFlags: newOperatorFlags(clause)}
+	clause.Flag("instance", "HTTP address of an instance to ask in place of those that the platform lists; may be repeated.").
+		StringsVar(&f.instances)
+	return f
+}
+
+// open returns a client and the instances to ask; the platform is not needed when instances are given.
+func (f *fleetFlags) open(ctx context.Context) (*admin.Client, []fleet.Instance, error) {
+	if len(f.instances) > 0 && f.platform == "" {
+		f.platform = "http://" + f.instances[0]
+	}
+	client, err := f.client()
+	if err != nil {
+		return nil, nil, err
+	}
+	if len(f.instances) > 0 {
+		return client, admin.At(f.instances), nil
+	}
+	instances, err := client.Instances(ctx)
+	if err != nil {
+		_ = client.Close()
+		return nil, nil, err
+	}
+	return client, instances, nil
+}
--- a/cmd/register.go
+++ b/cmd/register.go
@@ -9,4 +9,7 @@
 	newLoadCommand(app, commands)
 	newStandinCommands(app, commands)
 	newReportCommand(app, commands)
+	newContractCommands(app, commands)
+	newStatusCommand(app, commands)
+	newExplainCommand(app, commands)
 }
--- /dev/null
+++ b/cmd/status.go
@@ -0,0 +1,120 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"turmericpulley/core/types"
+	"turmericpulley/io/admin"
+	"turmericpulley/io/owner"
+)
+
+// statusCommand shows the instances, the owners, the primaries and the lags.
+type statusCommand struct {
+	flags *fleetFlags
+}
+
+func newStatusCommand(app *kingpin.Application, commands map[string]command) {
+	c := &statusCommand{}
+	clause := app.Command("status", "Show instances, owners of databases, primaries and lags.")
+	c.flags = newFleetFlags(clause)
+	commands[clause.FullCommand()] = c
+}
+
+func (c *statusCommand) run(out, problems io.Writer) int {
+	ctx := context.Background()
+	client, instances, err := c.flags.open(ctx)
+	if err != nil {
+		return fail(problems, err)
+	}
+	defer func() { _ = client.Close() }()
+	status := client.Status(ctx, instances)
+	if c.flags.json {
+		return printJSON(out, problems, status, exitOK)
+	}
+	printFleet(out, status.Instances)
+	printDatabases(out, status.Databases)
+	for _, id := range status.Unowned {
+		_, _ = fmt.Fprintf(out, "database %s has no owner among the instances that answered\n", id)
+	}
+	return exitOK
+}
+
+func printFleet(out io.Writer, instances []admin.InstanceStatus) {
+	rows := make([][]string, 0, len(instances)+1)
+	rows = append(rows, []string{
+		"INSTANCE", "DATA CENTRE", "STATE", "READY", "MEMBERSHIP", "DOCUMENTS", "SUSPECTED BY", "PROBLEM",
+	})
+	for _, i := range instances {
+		rows = append(rows, []string{
+			string(i.ID),
+			string(i.DataCentre),
+			string(i.State),
+			yesOrNo(i.Ready),
+			i.MembershipRevision.String(),
+			i.DocumentRevision.String(),
+			fmt.Sprint(len(i.SuspectedBy)),
+			i.Problem + i.NotReadyBecause,
+		})
+	}
+	printTable(out, rows)
+}
+
+func printDatabases(out io.Writer, databases []admin.DatabaseStatus) {
+	rows := [][]string{{"DATABASE", "OWNER", "EPOCH", "PHASE", "MEMBER", "ROLE", "TERM", "LAG", "AGE", "IN USE", "QUEUE"}}
+	for _, d := range databases {
+		for _, m := range d.Members {
+			rows = append(rows, []string{
+				string(d.Database),
+				string(d.Owner),
+				d.Epoch.String(),
+				d.Phase,
+				string(m.Target),
+				roleOf(d, m),
+				d.Term.String(),
+				lagOf(d.Position, m.Applied),
+				ageOf(m.AgeMs),
+				fmt.Sprint(m.InUse),
+				fmt.Sprint(m.Queue),
+			})
+		}
+	}
+	printTable(out, rows)
+}
+
+func roleOf(d admin.DatabaseStatus, m owner.MemberReport) string {
+	switch {
+	case !m.Up:
+		return "down"
+	case m.Leaving:
+		return "leaving"
+	case m.Target == d.Primary:
+		return "primary"
+	default:
+		return m.Role
+	}
+}
+
+func lagOf(primary, applied types.Position) string {
+	if applied >= primary {
+		return "0"
+	}
+	return (primary - applied).String()
+}
+
+func ageOf(ms int64) string {
+	if ms < 0 {
+		return "unknown"
+	}
+	return fmt.Sprintf("%dms", ms)
+}
+
+func yesOrNo(value bool) string {
+	if value {
+		return "yes"
+	}
+	return "no"
+}
--- /dev/null
+++ b/io/admin/apply_test.go
@@ -0,0 +1,278 @@
+package admin_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"turmericpulley/core/fleet"
+	"turmericpulley/core/policy"
+	"turmericpulley/core/types"
+	"turmericpulley/io/admin"
+	"turmericpulley/io/fakekv"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const testTimeout = 2 * time.Second
+
+func newPlatform(t *testing.T, instances ...fleet.Instance) *fakekv.Platform {
+	t.Helper()
+	members, err := fleet.Membership{Instances: instances}.Encode()
+	require.NoError(t, err)
+	platform, err := fakekv.Start(fakekv.Settings{Address: "127.0.0.1:0", Seed: map[string]string{"instances/r": string(members)}})
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, platform.Close()) })
+	return platform
+}
+
+func newOperator(t *testing.T, platform, name string, timeout time.Duration) *admin.Client {
+	t.Helper()
+	client, err := admin.New(admin.Settings{Platform: platform, Timeout: timeout, Operator: name})
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, client.Close()) })
+	return client
+}
+
+func contractOf(connections int) policy.Contract {
+	return policy.Contract{Customer: "sencnik", Groups: []types.GroupID{"orders-db"}, Connections: connections}
+}
+
+// newInstance answers questions about contracts; it may hang, and it may not have the change yet.
+func newInstance(t *testing.T, id types.InstanceID, has, answers *atomic.Bool) fleet.Instance {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !answers.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		ids := []types.InstanceID{}
+		if has.Load() {
+			ids = append(ids, id)
+		}
+		_ = json.NewEncoder(w).Encode(map[string]any{"inForce": ids, "revision": r.URL.Query().Get("revision")})
+	}))
+	t.Cleanup(server.Close)
+	return fleet.Instance{ID: id, HTTPAddress: server.Listener.Addr().String(), Incarnation: 1, State: fleet.Live}
+}
+
+// fakeFleet is three instances whose behaviour tests set.
+type fakeFleet struct {
+	has       [3]atomic.Bool
+	answers   [3]atomic.Bool
+	instances []fleet.Instance
+}
+
+func newFleet(t *testing.T) *fakeFleet {
+	t.Helper()
+	f := &fakeFleet{}
+	for i := range f.has {
+		f.has[i].Store(true)
+		f.answers[i].Store(true)
+		f.instances = append(f.instances, newInstance(t, types.InstanceID(fmt.Sprint("i", i)), &f.has[i], &f.answers[i]))
+	}
+	return f
+}
+
+func TestRacingOperatorsHaveOneWinner(t *testing.T) {
+	platform := newPlatform(t)
+	first := newOperator(t, platform.URL(), "first", testTimeout).Apply(context.Background(), contractOf(1), admin.Base{})
+	require.Equal(t, admin.Accepted, first.Outcome)
+	const operators = 8
+	results := make([]admin.Result, operators)
+	var group sync.WaitGroup
+	for i := range operators {
+		client := newOperator(t, platform.URL(), fmt.Sprint(i), testTimeout)
+		group.Go(func() {
+			base := admin.Base{Given: true, Revision: first.Revision}
+			results[i] = client.Apply(context.Background(), contractOf(i+2), base)
+		})
+	}
+	group.Wait()
+	won := 0
+	present, found, err := newOperator(t, platform.URL(), "", testTimeout).Contract(context.Background(), "sencnik")
+	require.NoError(t, err)
+	require.True(t, found)
+	for i, result := range results {
+		if result.Outcome == admin.Accepted {
+			won++
+			require.Equal(t, result.ChangeID, present.Contract.ChangeID)
+			require.Equal(t, i+2, present.Contract.Connections)
+			continue
+		}
+		require.Equal(t, admin.Conflict, result.Outcome, result.Detail)
+		require.False(t, present.Contract.Holds(result.ChangeID))
+	}
+	require.Equal(t, 1, won)
+	require.Equal(t, first.ChangeID, present.Contract.History[0].ChangeID)
+	require.Equal(t, first.Revision, present.Contract.History[0].Revision)
+}
+
+func TestEditedDocumentsConflictWithLaterChanges(t *testing.T) {
+	platform := newPlatform(t)
+	client := newOperator(t, platform.URL(), "o", testTimeout)
+	ctx := context.Background()
+	client.Apply(ctx, contractOf(1), admin.Base{})
+	edited, _, err := client.Contract(ctx, "sencnik")
+	require.NoError(t, err)
+	edited.Contract.Connections = 9
+	require.Equal(t, admin.Accepted, client.Apply(ctx, edited.Contract, admin.Base{}).Outcome)
+	require.Equal(t, admin.Conflict, client.Apply(ctx, edited.Contract, admin.Base{}).Outcome)
+	require.Equal(t, admin.Conflict, client.Apply(ctx, contractOf(2), admin.Base{Given: true}).Outcome)
+	for range 25 {
+		require.Equal(t, admin.Accepted, client.Apply(ctx, contractOf(3), admin.Base{}).Outcome)
+	}
+	present, _, err := client.Contract(ctx, "sencnik")
+	require.NoError(t, err)
+	require.Len(t, present.Contract.History, policy.MaxHistory)
+}
+
+func TestLostAnswerIsResolved(t *testing.T) {
+	platform := newPlatform(t)
+	client := newOperator(t, platform.URL(), "o", testTimeout)
+	platform.SetFaults(fakekv.Faults{LoseAnswers: 1})
+	result := client.Apply(context.Background(), contractOf(4), admin.Base{})
+	require.Equal(t, admin.Accepted, result.Outcome, result.Detail)
+	present, _, err := client.Contract(context.Background(), "sencnik")
+	require.NoError(t, err)
+	require.Equal(t, result.Revision, present.Revision)
+	require.Empty(t, present.Contract.History, "the change was stored once")
+}
+
+// between passes calls on to the platform and lets a test act on writes.
+func between(t *testing.T, platform string, onWrite func(w http.ResponseWriter, forward func())) string {
+	t.Helper()
+	target, err := url.Parse(platform)
+	require.NoError(t, err)
+	proxy := httputil.NewSingleHostReverseProxy(target)
+	transport := &http.Transport{}
+	proxy.Transport = transport
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodPut {
+			proxy.ServeHTTP(w, r)
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		onWrite(w, func() {
+			r.Body = io.NopCloser(bytes.NewReader(body))
+			proxy.ServeHTTP(w, r)
+		})
+	}))
+	t.Cleanup(func() {
+		server.Close()
+		transport.CloseIdleConnections()
+	})
+	return server.URL
+}
+
+func TestChangesOvertakenAfterALostAnswerAreRecognised(t *testing.T) {
+	for overtakers, want := range map[int]admin.Outcome{1: admin.Accepted, 20: admin.Accepted, 21: admin.Unknown} {
+		t.Run(fmt.Sprint(overtakers), func(t *testing.T) {
+			platform := newPlatform(t)
+			other := newOperator(t, platform.URL(), "other", testTimeout)
+			other.Apply(context.Background(), contractOf(1), admin.Base{})
+			path := between(t, platform.URL(), func(_ http.ResponseWriter, forward func()) {
+				// The write takes effect, others follow it, and its answer is lost.
+				forward()
+				for i := range overtakers {
+					other.Apply(context.Background(), contractOf(i+2), admin.Base{})
+				}
+				panic(http.ErrAbortHandler)
+			})
+			result := newOperator(t, path, "o", 6*time.Second).Apply(context.Background(), contractOf(99), admin.Base{})
+			require.Equal(t, want, result.Outcome, result.Detail)
+			present, _, err := other.Contract(context.Background(), "sencnik")
+			require.NoError(t, err)
+			require.Equal(t, overtakers+1, present.Contract.Connections)
+		})
+	}
+}
+
+func TestWritesThatNeverArrivedAreBeatenOrRepeated(t *testing.T) {
+	platform := newPlatform(t)
+	other := newOperator(t, platform.URL(), "other", testTimeout)
+	other.Apply(context.Background(), contractOf(1), admin.Base{})
+	overtake := true
+	writes := 0
+	path := between(t, platform.URL(), func(_ http.ResponseWriter, forward func()) {
+		writes++
+		if writes > 1 {
+			forward()
+			return
+		}
+		if overtake {
+			other.Apply(context.Background(), contractOf(2), admin.Base{})
+		}
+		panic(http.ErrAbortHandler)
+	})
+	client := newOperator(t, path, "o", testTimeout)
+	require.Equal(t, admin.Conflict, client.Apply(context.Background(), contractOf(99), admin.Base{}).Outcome)
+	require.Equal(t, 1, writes, "a write that can no longer succeed is not repeated")
+	overtake, writes = false, 0
+	require.Equal(t, admin.Accepted, client.Apply(context.Background(), contractOf(99), admin.Base{}).Outcome)
+	require.Equal(t, 2, writes)
+}
+
+func TestUnknownAndNotRun(t *testing.T) {
+	platform := newPlatform(t)
+	path := between(t, platform.URL(), func(_ http.ResponseWriter, forward func()) {
+		forward()
+		platform.SetFaults(fakekv.Faults{Down: true})
+		panic(http.ErrAbortHandler)
+	})
+	client := newOperator(t, path, "o", 500*time.Millisecond)
+	result := client.Apply(context.Background(), contractOf(1), admin.Base{})
+	require.Equal(t, admin.Unknown, result.Outcome)
+	require.Contains(t, result.Detail, result.ChangeID)
+	require.Equal(t, admin.NotRun, client.Apply(context.Background(), contractOf(1), admin.Base{}).Outcome)
+}
+
+func TestAcceptedNeedsEveryLiveInstance(t *testing.T) {
+	f := newFleet(t)
+	platform := newPlatform(t, f.instances...)
+	client := newOperator(t, platform.URL(), "o", time.Second)
+	apply := func() admin.Result { return client.Apply(context.Background(), contractOf(1), admin.Base{}) }
+	result := apply()
+	require.Equal(t, admin.Accepted, result.Outcome, result.Detail)
+	require.Len(t, result.InForce, 3)
+
+	f.has[2].Store(false)
+	result = apply()
+	require.Equal(t, admin.Pending, result.Outcome)
+	require.Equal(t, []types.InstanceID{"i2"}, result.Waiting)
+	require.True(t, strings.Contains(result.Detail, "stored as revision"), result.Detail)
+
+	slow := time.AfterFunc(300*time.Millisecond, func() { f.has[2].Store(true) })
+	defer slow.Stop()
+	require.Equal(t, admin.Accepted, apply().Outcome, "the answer comes as soon as nothing is waiting")
+}
+
+func TestUnreachableInstancesAreIsolatedOnlyAfterTheBound(t *testing.T) {
+	f := newFleet(t)
+	f.answers[2].Store(false)
+	platform := newPlatform(t, f.instances...)
+	require.Equal(t, admin.Pending,
+		newOperator(t, platform.URL(), "o", time.Second).Apply(context.Background(), contractOf(1), admin.Base{}).Outcome)
+	patient := newOperator(t, platform.URL(), "o", 5*time.Second)
+	started := time.Now()
+	result := patient.Apply(context.Background(), contractOf(2), admin.Base{})
+	require.Equal(t, admin.Accepted, result.Outcome, result.Detail)
+	require.Equal(t, []types.InstanceID{"i2"}, result.Isolated)
+	require.GreaterOrEqual(t, time.Since(started), 3*time.Second)
+	f.answers[1].Store(false)
+	result = patient.Apply(context.Background(), contractOf(3), admin.Base{})
+	require.Equal(t, admin.Pending, result.Outcome, "one of three is no majority")
+}
--- /dev/null
+++ b/io/admin/regions.go
@@ -0,0 +1,58 @@
+package admin
+
+import (
+	"context"
+	"sync"
+
+	"turmericpulley/core/fleet"
+)
+
+// instancesPrefix begins the key of every region's membership.
+const instancesPrefix = "instances/"
+
+// regions reads the memberships of all regions by their keys.
+func (c *Client) regions(ctx context.Context) (map[string]fleet.Membership, error) {
+	page, err := c.store.List(ctx, instancesPrefix, 0, 0)
+	if err != nil {
+		return nil, err
+	}
+	regions := map[string]fleet.Membership{}
+	for _, entry := range page.Entries {
+		if entry.Deleted {
+			continue
+		}
+		members, err := fleet.Decode(entry.Value, entry.Revision)
+		if err != nil {
+			return nil, err
+		}
+		regions[entry.Key] = members
+	}
+	return regions, nil
+}
+
+// Instances returns every instance of every region.
+func (c *Client) Instances(ctx context.Context) ([]fleet.Instance, error) {
+	regions, err := c.regions(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var instances []fleet.Instance
+	for _, members := range regions {
+		instances = append(instances, members.Instances...)
+	}
+	return instances, nil
+}
+
+// each calls the function for all instances, some at once, and waits for all.
+func each(instances []fleet.Instance, ask func(index int, instance fleet.Instance)) {
+	var group sync.WaitGroup
+	room := make(chan struct{}, maxQuestions)
+	for index, instance := range instances {
+		room <- struct{}{}
+		group.Go(func() {
+			defer func() { <-room }()
+			ask(index, instance)
+		})
+	}
+	group.Wait()
+}
--- /dev/null
+++ b/io/admin/settings.go
@@ -0,0 +1,33 @@
+package admin
+
+import (
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+const (
+	// DefaultTimeout bounds the wait for a change, to be stored and then to be in force.
+	DefaultTimeout = 5 * time.Second
+	// askTimeout bounds one question to one instance.
+	askTimeout = time.Second
+	// storeTimeout bounds one call to the platform, so that a lost answer leaves time to read back.
+	storeTimeout = time.Second
+	// pollInterval is the pause between two rounds of questions.
+	pollInterval = 100 * time.Millisecond
+	// maxAnswerBytes bounds the answer of an instance.
+	maxAnswerBytes = 32 << 20
+	// maxQuestions is the number of instances that are asked at once.
+	maxQuestions = 32
+)
+
+// Settings configures a client for operators.
+type Settings struct {
+	// Platform is the base URL of the platform.
+	Platform string
+	// Timeout bounds the wait for a change, to be stored and then to be in force.
+	Timeout time.Duration
+	// Operator is the name that changes are recorded under.
+	Operator string
+	Logger   hclog.Logger
+}
