feat: instances that are slow themselves do not judge others

Seen failing first, as a trial in one process with 315 instances at once: probes failed for want of file descriptors and processor time, healthy instances were removed and the membership kept shrinking.

--- a/core/fleet/monitor.go
+++ b/core/fleet/monitor.go
@@ -35,9 +35,11 @@
 
 // Monitor decides when one instance counts as suspected; it is not safe for concurrent use.
 type Monitor struct {
-	heard     time.Time
-	sent      time.Time
-	missed    bool
+	heard  time.Time
+	sent   time.Time
+	missed bool
+	// excused is true when the last probe failed for a reason of the prober's own.
+	excused   bool
 	suspected bool
 }
 
@@ -48,7 +50,7 @@
 
 // Next returns what to do next.
 func (m *Monitor) Next() Step {
-	if m.suspected {
+	if m.suspected || m.excused {
 		return SendProbe{At: m.sent.Add(suspectInterval)}
 	}
 	limit := m.heard.Add(SilenceLimit)
@@ -61,7 +63,7 @@
 // Heard records an answer; it returns whether the instance was suspected until now.
 func (m *Monitor) Heard(sent, now time.Time) bool {
 	recovered := m.suspected
-	m.heard, m.sent, m.missed, m.suspected = now, sent, false, false
+	m.heard, m.sent, m.missed, m.excused, m.suspected = now, sent, false, false, false
 	return recovered
 }
 
@@ -71,9 +73,12 @@
 // ProbeFailed records a failed probe; it returns whether the instance was not suspected until now.
 func (m *Monitor) ProbeFailed(sent time.Time) bool {
 	first := !m.suspected
-	m.sent, m.suspected = sent, true
+	m.sent, m.excused, m.suspected = sent, false, true
 	return first
 }
 
+// Excused records a failed probe from which nothing follows.
+func (m *Monitor) Excused(sent time.Time) { m.sent, m.excused = sent, true }
+
 // Suspected reports whether the last probe failed.
 func (m *Monitor) Suspected() bool { return m.suspected }
--- a/io/peers/counters.go
+++ b/io/peers/counters.go
@@ -12,6 +12,9 @@
 	Probes atomic.Uint64
 	// ProbesFailed counts probes without an answer in time.
 	ProbesFailed atomic.Uint64
+	// ProbesExcused counts failed probes that were not held against the peer because this process was slow or short of
+	// resources itself.
+	ProbesExcused atomic.Uint64
 	// Suspicions counts instances that became suspected.
 	Suspicions atomic.Uint64
 	// Reports counts failure reports received.
--- a/io/peers/event.go
+++ b/io/peers/event.go
@@ -19,7 +19,10 @@
 // probed brings the outcome of the proposer's own probe.
 type probed struct {
 	subject fleet.Subject
+	// answers is true when the instance answered.
 	answers bool
+	// excused is true when nothing follows from the missing answer.
+	excused bool
 }
 
 func (proposed) event() {}
--- a/io/peers/failure_test.go
+++ b/io/peers/failure_test.go
@@ -113,7 +113,7 @@
 
 func TestOutageOfTheStoreIsSurvivedWithoutAStampede(t *testing.T) {
 	c := newCluster(t, 6)
-	revision := c.put(contractKey, contractText(4))
+	revision := c.put(contractText(4))
 	require.Eventually(t, func() bool { return c.holdEverywhere(revision) }, soon, often)
 	c.store.setDown(true)
 	c.store.takeCalls()
@@ -216,3 +216,63 @@
 	require.False(t, from.Suspected(to.Self().ID))
 	require.Zero(t, c.total(removals))
 }
+
+func TestWatchersOfTheStoreAreReplaced(t *testing.T) {
+	c := newCluster(t, 7)
+	for _, dataCentre := range []types.DataCentre{"dc-0", "dc-1"} {
+		for _, watcher := range c.services[0].Membership().StoreWatchers(dataCentre) {
+			c.stopID(watcher.ID)
+		}
+	}
+	c.settled(3)
+	revision := c.put(contractText(9))
+	require.Eventually(t, func() bool { return c.holdEverywhere(revision) }, soon, often)
+	for _, s := range c.services {
+		require.NoError(t, s.Fresh())
+	}
+}
+
+func (c *cluster) stopID(id types.InstanceID) {
+	for index, s := range c.services {
+		if s.Self().ID == id {
+			c.stop(index)
+			return
+		}
+	}
+}
+
+// TestAcceptedContractGovernsWhereverInstancesAreFresh changes a contract while instances are cut off at random: an
+// instance that holds an older version three seconds later must take no work.
+func TestAcceptedContractGovernsWhereverInstancesAreFresh(t *testing.T) {
+	c := newCluster(t, 5)
+	accepted := map[types.Revision]time.Time{}
+	for round := range 24 {
+		one := c.services[round%len(c.services)]
+		c.isolate(one, round%3 != 0)
+		if round%4 == 0 {
+			accepted[c.put(contractText(round))] = time.Now()
+		}
+		for range 10 {
+			time.Sleep(30 * time.Millisecond)
+			c.requireGoverned(accepted)
+		}
+	}
+	for _, s := range c.services {
+		c.isolate(s, false)
+	}
+	c.settled(5)
+}
+
+func (c *cluster) requireGoverned(accepted map[types.Revision]time.Time) {
+	c.t.Helper()
+	for _, s := range c.services {
+		now := time.Now()
+		fresh := s.Fresh() == nil
+		_, held, _ := s.Book().Contract("desk")
+		for revision, at := range accepted {
+			if fresh && now.Sub(at) > 3*time.Second {
+				require.GreaterOrEqual(c.t, held, revision, "%s", s.Self().ID)
+			}
+		}
+	}
+}
--- a/io/peers/fleet_test.go
+++ b/io/peers/fleet_test.go
@@ -102,11 +102,11 @@
 	return c.hops[pair]
 }
 
-func (c *cluster) put(key, value string) types.Revision {
+func (c *cluster) put(value string) types.Revision {
 	c.t.Helper()
-	_, before, _, err := c.store.Get(c.t.Context(), key)
+	_, before, _, err := c.store.Get(c.t.Context(), contractKey)
 	require.NoError(c.t, err)
-	revision, err := c.store.Put(c.t.Context(), key, []byte(value), before)
+	revision, err := c.store.Put(c.t.Context(), contractKey, []byte(value), before)
 	require.NoError(c.t, err)
 	return revision
 }
@@ -118,7 +118,7 @@
 func TestInstancesJoinAndHoldDocuments(t *testing.T) {
 	c := newCluster(t, 5)
 	started := time.Now()
-	revision := c.put(contractKey, contractText(3))
+	revision := c.put(contractText(3))
 	for _, s := range c.services {
 		require.Eventually(t, func() bool {
 			held, at, found := s.Book().Contract("desk")
--- a/io/peers/flush.go
+++ b/io/peers/flush.go
@@ -23,7 +23,7 @@
 	if len(due) == 0 {
 		return
 	}
-	if err := p.write(ctx, due); err != nil {
+	if err := p.write(ctx, due); err != nil && !isConflict(err) {
 		p.resume = time.Now().Add(p.pause.pause())
 		return
 	}
@@ -31,7 +31,8 @@
 	p.settle(now)
 }
 
-// settle ends the proposals that were due; those that the membership still lacks were not allowed or came too late.
+// settle ends the proposals that were due; those that the membership still lacks were not allowed or lost a race, and
+// whoever wants them asks again.
 func (p *proposer) settle(due time.Time) {
 	members := p.node.roster.current()
 	kept := p.pending[:0]
@@ -83,13 +84,16 @@
 		if err := p.node.readMembership(ctx); err != nil {
 			return err
 		}
+		if p.isOutsider() {
+			return fault.New(fault.RevisionConflict, "other instances write the membership")
+		}
 	}
 	for range maxWriteAttempts {
 		err := p.swap(ctx, changes)
 		if err == nil {
 			return nil
 		}
-		if f := fault.From(err); f == nil || f.Kind != fault.RevisionConflict {
+		if !isConflict(err) {
 			p.node.logger.Warn("membership not written", "reason", err)
 			return err
 		}
@@ -97,10 +101,26 @@
 		if err := p.node.readMembership(ctx); err != nil {
 			return err
 		}
+		if p.isOutsider() {
+			break
+		}
 	}
 	return fault.New(fault.RevisionConflict, "the membership keeps changing")
 }
 
+// isOutsider reports whether this instance is missing from a membership that has live instances; they write for it, so
+// that many instances that start together do not race for every write.
+func (p *proposer) isOutsider() bool {
+	members := p.node.roster.current()
+	_, found := members.Find(p.node.roster.own().ID)
+	return !found && len(members.Live()) > 0
+}
+
+func isConflict(err error) bool {
+	f := fault.From(err)
+	return f != nil && f.Kind == fault.RevisionConflict
+}
+
 // maxWriteAttempts bounds the attempts that follow one another without a pause.
 const maxWriteAttempts = 4
 
@@ -126,7 +146,7 @@
 	}
 	next.Revision = revision
 	p.node.counters.MembershipWrites.Add(1)
-	p.node.counters.Removals.Add(removals(allowed))
+	p.node.counters.Removals.Add(removals(members, allowed))
 	p.node.install(next)
 	p.spread(next)
 	return nil
@@ -147,10 +167,11 @@
 	return allowed
 }
 
-func removals(changes []fleet.Change) uint64 {
+// removals counts the instances that the changes take out of the membership.
+func removals(members fleet.Membership, changes []fleet.Change) uint64 {
 	count := uint64(0)
 	for _, c := range changes {
-		if _, removal := c.(fleet.Remove); removal {
+		if _, removal := c.(fleet.Remove); removal && !members.Contains(c) {
 			count++
 		}
 	}
--- a/io/peers/keeper.go
+++ b/io/peers/keeper.go
@@ -17,6 +17,7 @@
 // keeper closes the sessions in use that have gone silent for good. A busy session is not silent: any byte counts.
 type keeper struct {
 	counters *Counters
+	health   *selfcheck
 	stop     chan struct{}
 	running  sync.WaitGroup
 
@@ -25,7 +26,7 @@
 }
 
 func newKeeper(counters *Counters) *keeper {
-	k := &keeper{counters: counters, stop: make(chan struct{}), sessions: make(map[*session]bool)}
+	k := &keeper{counters: counters, health: newSelfcheck(), stop: make(chan struct{}), sessions: make(map[*session]bool)}
 	k.running.Go(func() {
 		ticker := time.NewTicker(keeperInterval)
 		defer ticker.Stop()
@@ -36,9 +37,10 @@
 				return
 			case <-ticker.C:
 				now := time.Now()
-				paused := now.Sub(last) > 2*keeperInterval
+				lateness := now.Sub(last) - keeperInterval
 				last = now
-				k.look(now, paused)
+				k.health.ticked(lateness)
+				k.look(now, lateness > keeperInterval)
 			}
 		}
 	})
--- a/io/peers/proposer.go
+++ b/io/peers/proposer.go
@@ -140,12 +140,7 @@
 		p.verify(ctx, e.report.Subject())
 	case probed:
 		delete(p.probing, e.subject)
-		if e.answers {
-			p.reports.Forget(e.subject)
-			return
-		}
-		p.reports.Add(p.ownReport(e.subject), now)
-		p.consider(e.subject, now)
+		p.conclude(e, now)
 	}
 }
 
@@ -164,13 +159,27 @@
 		if err == nil {
 			closeQuietly(session)
 		}
+		outcome := probed{subject, err == nil, err != nil && p.node.keeper.health.excuses(err)}
 		select {
-		case p.events <- probed{subject, err == nil}:
+		case p.events <- outcome:
 		case <-ctx.Done():
 		}
 	})
 }
 
+// conclude adds the proposer's own probe to the reports.
+func (p *proposer) conclude(e probed, now time.Time) {
+	switch {
+	case e.answers:
+		p.reports.Forget(e.subject)
+	case e.excused:
+		p.node.counters.ProbesExcused.Add(1)
+	default:
+		p.reports.Add(p.ownReport(e.subject), now)
+		p.consider(e.subject, now)
+	}
+}
+
 // consider schedules the removal of an instance that enough others have lost as well.
 func (p *proposer) consider(subject fleet.Subject, now time.Time) {
 	if p.removing(subject) || !p.supported(subject, now) {
--- a/io/peers/stream_test.go
+++ b/io/peers/stream_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"turmericpulley/core/fault"
+	"turmericpulley/core/fleet"
 	"turmericpulley/io/peers"
 	"turmericpulley/io/wire"
 )
@@ -164,3 +165,50 @@
 		require.ErrorIs(t, b.Send(&wire.Frame{RequestId: 1}), io.ErrClosedPipe)
 	})
 }
+
+func TestIdleSilentSessionIsFoundBeforeItIsUsed(t *testing.T) {
+	c := newCluster(t, 2)
+	from, to := c.services[0], c.services[1]
+	to.HandleTransactions(echo)
+	path := c.hop(from.Self().ID, to.Self().PeerAddress)
+	path.silence()
+	for range 20 {
+		s, err := from.Open(t.Context(), to.Self().ID, &wire.Begin{RequestId: 1})
+		require.NoError(t, err)
+		require.NoError(t, s.SetDeadline(time.Now().Add(100*time.Millisecond)))
+		require.NoError(t, s.Send(&wire.Frame{RequestId: 1}))
+		_, err = s.Receive()
+		_ = s.Close()
+		if err == nil {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	require.Fail(t, "the silent session was used for longer than three seconds")
+}
+
+func TestSilentSessionWithoutHeartbeatsEnds(t *testing.T) {
+	c := newCluster(t, 11)
+	from := c.services[0]
+	var to *peers.Service
+	for _, other := range c.services[1:] {
+		if !fleet.Holds(from.Membership().Watched(from.Self().ID), other.Self().ID) {
+			to = other
+		}
+	}
+	require.NotNil(t, to, "ten others, eight of them watched")
+	to.HandleTransactions(echo)
+	s, err := from.Open(t.Context(), to.Self().ID, &wire.Begin{RequestId: 1})
+	require.NoError(t, err)
+	require.NoError(t, s.Send(&wire.Frame{RequestId: 1}))
+	_, err = s.Receive()
+	require.NoError(t, err)
+	c.hop(from.Self().ID, to.Self().PeerAddress).silence()
+	started := time.Now()
+	_, err = s.Receive()
+	require.Error(t, err)
+	t.Logf("ended after %s", time.Since(started))
+	require.Less(t, time.Since(started), 3*time.Second)
+	require.Equal(t, uint64(1), from.Counters().SessionsSilent.Load())
+	_ = s.Close()
+}
--- a/io/peers/watch.go
+++ b/io/peers/watch.go
@@ -101,6 +101,11 @@
 	if ctx.Err() != nil {
 		return
 	}
+	if w.node.keeper.health.excuses(err) {
+		w.node.counters.ProbesExcused.Add(1)
+		w.monitor.Excused(sent)
+		return
+	}
 	if w.monitor.ProbeFailed(sent) {
 		w.suspect(err)
 	}
