--- /dev/null
+++ b/io/check/measure_failover_test.go
@@ -0,0 +1,88 @@
+//go:build measure
+
+package check_test
+
+import (
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"turmericpulley/io/check"
+	"turmericpulley/io/load"
+)
+
+const (
+	// killRounds times the databases of a fleet gives the number of primaries killed.
+	killRounds = 7
+	// cutRounds times the databases gives the number of primaries cut off.
+	cutRounds = 2
+)
+
+// TestMeasureFailover prints how long no write is acknowledged after primaries are killed and cut off.
+func TestMeasureFailover(t *testing.T) {
+	for _, s := range sizes() {
+		t.Run(s.name, func(t *testing.T) {
+			f := s.start(t)
+			measureFailovers(t, f, s, "killed", killRounds, killPrimary)
+			measureFailovers(t, f, s, "cut off", cutRounds, cutPrimaryOff)
+		})
+	}
+}
+
+// failure makes the primary of a database fail and returns what repairs it after the load.
+type failure func(f *check.Fleet, database int) (repair func())
+
+func killPrimary(f *check.Fleet, database int) func() {
+	primary := f.Primary(database)
+	primary.Kill()
+	return primary.Start
+}
+
+func cutPrimaryOff(f *check.Fleet, database int) func() {
+	primary := f.Primary(database)
+	f.CutMember(primary, f.Instances, check.Upstream, check.Downstream)
+	return func() { f.HealMember(primary) }
+}
+
+func measureFailovers(t *testing.T, f *check.Fleet, s size, name string, rounds int, strike failure) {
+	t.Helper()
+	var gaps []float64
+	clean, unknown, findings := true, 0, 0
+	for round := range rounds {
+		settings := s.load(f)
+		settings.WriteShare = 0.5
+		settings.Duration = 6 * time.Second
+		settings.Seed += uint64(round)
+		result := measureFailover(f, settings, strike)
+		for _, gap := range result.Gaps {
+			gaps = append(gaps, float64(gap.Length))
+		}
+		for _, class := range result.Classes {
+			unknown += class.Unknown
+		}
+		clean = clean && result.Clean()
+		findings += len(result.Findings)
+		waitRejoined(t, f)
+	}
+	slices.Sort(gaps)
+	t.Logf("FAILOVER %s | %s | %d failovers | gap ms: min %.0f p50 %.0f p90 %.0f max %.0f | unknown %d | clean %v (%d findings) | all %.0f",
+		s.name, name, len(gaps), gaps[0], gaps[len(gaps)/2], gaps[len(gaps)*9/10], gaps[len(gaps)-1], unknown, clean, findings, gaps)
+}
+
+// measureFailover lets the primaries of all databases fail half a second apart under load.
+func measureFailover(f *check.Fleet, settings load.Settings, strike failure) load.Result {
+	repairs := make([]func(), len(f.Members))
+	result := f.Run(settings, faultDelay, func() {
+		striking := sync.WaitGroup{}
+		for database := range f.Members {
+			striking.Go(func() { repairs[database] = strike(f, database) })
+			time.Sleep(settleTime)
+		}
+		striking.Wait()
+	})
+	for _, repair := range repairs {
+		repair()
+	}
+	return result
+}
