--- /dev/null
+++ b/io/check/measure_overload_test.go
@@ -0,0 +1,120 @@
+//go:build measure
+
+package check_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"turmericpulley/core/audit"
+	"turmericpulley/core/policy"
+	"turmericpulley/core/types"
+	"turmericpulley/io/check"
+	"turmericpulley/io/load"
+)
+
+const (
+	overloadSpan = 8 * time.Second
+	// overloadStatement makes the slots and not the machine the limit.
+	overloadStatement = 10 * time.Millisecond
+	smallCustomer     = types.CustomerID("small")
+	largeCustomer     = types.CustomerID("large")
+	// demandRatio is how many times the demand of the small customer the large one has.
+	demandRatio = 5
+)
+
+// TestMeasureOverload prints goodput from half to three times what the slots carry, and each customer's share of it.
+// Every statement needs the primary, so that its slots are the limit.
+func TestMeasureOverload(t *testing.T) {
+	for _, s := range sizes() {
+		t.Run(s.name, func(t *testing.T) {
+			s.layout.Databases = 1
+			s.layout.StatementTime = overloadStatement
+			s.layout.Contracts = nil
+			for _, customer := range []types.CustomerID{smallCustomer, largeCustomer} {
+				contract := check.NewContract(customer, s.layout.Group)
+				contract.MaxReadAge = 0
+				contract.Connections = s.layout.Connections
+				contract.QueueLength = 64
+				contract.QueueTimeout = policy.Duration(500 * time.Millisecond)
+				s.layout.Contracts = append(s.layout.Contracts, contract)
+			}
+			f := s.start(t)
+			capacity := float64(s.layout.Slots) / overloadStatement.Seconds()
+			for _, factor := range []float64{0.5, 0.8, 1, 1.5, 3} {
+				measureOverload(t, f, s, capacity, factor)
+			}
+		})
+	}
+}
+
+func measureOverload(t *testing.T, f *check.Fleet, s size, capacity, factor float64) {
+	t.Helper()
+	customers := []types.CustomerID{smallCustomer, largeCustomer}
+	demands := []float64{1.0 / (1 + demandRatio), demandRatio / (1.0 + demandRatio)}
+	results := make([]load.Result, len(customers))
+	failures := make([]error, len(customers))
+	running := sync.WaitGroup{}
+	for i, customer := range customers {
+		settings := s.load(f)
+		settings.Customer = customer
+		settings.Rate = load.Rate(capacity * factor * demands[i])
+		settings.Duration = overloadSpan
+		settings.Sessions = 60
+		settings.Connections = 2
+		settings.Roam = 0
+		settings.RequestTimeout = time.Second
+		settings.Seed += uint64(i)
+		running.Go(func() { results[i], failures[i] = load.Run(context.Background(), settings) })
+	}
+	running.Wait()
+	total, clean, lines := 0.0, true, make([]string, 0, len(customers))
+	for i, result := range results {
+		require.NoError(t, failures[i])
+		goodput := float64(result.AcknowledgedReads+result.AcknowledgedWrites) / (float64(result.Duration) / 1000)
+		total += goodput
+		clean = clean && result.Clean()
+		lines = append(lines, fmt.Sprintf("%s: demand %.0f/s, goodput %.0f/s, p99 %.0f ms, attempts refused %s",
+			customers[i], capacity*factor*demands[i], goodput, slowest(result), refusals(result)))
+	}
+	t.Logf("OVERLOAD %s | %.1f times %.0f statements/s | goodput %.0f requests/s | clean %v | %s", s.name, factor, capacity, total,
+		clean, strings.Join(lines, " | "))
+}
+
+// slowest returns the highest 99th percentile of the classes.
+func slowest(r load.Result) float64 {
+	highest := load.Milliseconds(0)
+	for _, class := range r.Classes {
+		highest = max(highest, class.P99)
+	}
+	return float64(highest)
+}
+
+// refusals lists the attempts without an acknowledgement by SQLSTATE.
+func refusals(r load.Result) string {
+	counts := map[audit.SQLState]int{}
+	outcomes := [4]int{}
+	for _, class := range r.Classes {
+		for state, count := range class.Refusals {
+			counts[state] += count
+		}
+		outcomes[0] += class.NotRun
+		outcomes[1] += class.Unknown
+		outcomes[2] += class.Failed
+		outcomes[3] += class.Missed
+	}
+	parts := make([]string, 0, len(counts))
+	for state, count := range counts {
+		parts = append(parts, fmt.Sprintf("%q=%d", string(state), count))
+	}
+	slices.Sort(parts)
+	return fmt.Sprintf("%s; ended not run %d, unknown %d, failed %d, missed %d", strings.Join(parts, " "),
+		outcomes[0], outcomes[1], outcomes[2], outcomes[3])
+}
