--- /dev/null
+++ b/io/check/measure_control_test.go
@@ -0,0 +1,83 @@
+//go:build measure
+
+package check_test
+
+import (
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"turmericpulley/io/check"
+)
+
+const idleSpan = 30 * time.Second
+
+// TestMeasureIdleFleet prints what a fleet spends on control while no caller is there, for several numbers of databases.
+func TestMeasureIdleFleet(t *testing.T) {
+	for _, databases := range []int{1, 3, 12} {
+		t.Run(strconv.Itoa(databases), func(t *testing.T) {
+			s := sencnik()
+			s.layout.Databases = databases
+			measureIdle(t, s.start(t), s)
+		})
+	}
+}
+
+// TestMeasureOneInstance prints the same for one instance that owns every database.
+func TestMeasureOneInstance(t *testing.T) {
+	for _, databases := range []int{1, 12} {
+		t.Run(strconv.Itoa(databases), func(t *testing.T) {
+			s := sencnik()
+			s.layout.Instances, s.layout.Databases = 1, databases
+			measureIdle(t, s.start(t), s)
+		})
+	}
+}
+
+func measureIdle(t *testing.T, f *check.Fleet, s size) {
+	t.Helper()
+	callsBefore, spentBefore, polledBefore := f.Platform.Calls(), spent(t, f), metricSum(t, f, "owner_monitor_calls")
+	time.Sleep(idleSpan)
+	calls := f.Platform.Calls()
+	resident := int64(0)
+	for _, i := range f.Instances {
+		usage, err := i.Usage()
+		require.NoError(t, err)
+		resident += usage.Resident
+	}
+	instances, seconds := float64(len(f.Instances)), idleSpan.Seconds()
+	t.Logf("IDLE %d instances, %d databases, %.0f s | processor %.2f %% of a core per instance | resident %.1f MB per instance | "+
+		"store reads %d, writes %d, of them waiting %d | monitor calls %.1f/s per database",
+		len(f.Instances), s.layout.Databases, seconds, (spent(t, f)-spentBefore).Seconds()/instances/seconds*100,
+		float64(resident)/instances/1e6, calls.Reads-callsBefore.Reads, calls.Writes-callsBefore.Writes,
+		calls.Waiting-callsBefore.Waiting,
+		(metricSum(t, f, "owner_monitor_calls")-polledBefore)/seconds/float64(s.layout.Databases))
+}
+
+// metricSum adds up a counter over all instances.
+func metricSum(t *testing.T, f *check.Fleet, name string) float64 {
+	t.Helper()
+	line := regexp.MustCompile(`^\w*` + name + `\w*(\{.*\})? (\S+)$`)
+	total := 0.0
+	for _, i := range f.Instances {
+		response, err := http.Get("http://" + i.HTTP + "/metrics")
+		require.NoError(t, err)
+		text, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		for l := range strings.Lines(string(text)) {
+			if match := line.FindStringSubmatch(strings.TrimSpace(l)); match != nil {
+				value, err := strconv.ParseFloat(match[2], 64)
+				require.NoError(t, err)
+				total += value
+			}
+		}
+	}
+	return total
+}
--- a/io/check/measure_failover_test.go
+++ b/io/check/measure_failover_test.go
@@ -47,7 +47,7 @@
 
 func measureFailovers(t *testing.T, f *check.Fleet, s size, name string, rounds int, strike failure) {
 	t.Helper()
-	var gaps []float64
+	gaps := make([]float64, 0, rounds*len(f.Members))
 	clean, unknown, findings := true, 0, 0
 	for round := range rounds {
 		settings := s.load(f)
