--- a/core/audit/check_test.go
+++ b/core/audit/check_test.go
@@ -119,19 +119,20 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		outcomes := rapid.SliceOfN(rapid.SampledFrom(audit.Outcomes()), 1, 30).Draw(rt, "outcomes")
 		ran := rapid.SliceOfN(rapid.Bool(), len(outcomes), len(outcomes)).Draw(rt, "ran")
-		var operations []audit.Operation
+		operations := make([]audit.Operation, 0, len(outcomes))
 		var count, acknowledged, unknown audit.Value
 		for i, outcome := range outcomes {
 			operations = append(operations, with(at(i, audit.Increment, till, 1), outcome))
-			switch {
-			case outcome == audit.Acknowledged:
+			switch outcome {
+			case audit.Acknowledged:
 				acknowledged++
 				count++
-			case outcome == audit.Unknown:
+			case audit.Unknown:
 				unknown++
 				if ran[i] {
 					count++
 				}
+			case audit.NotRun, audit.Failed:
 			}
 		}
 		require.Empty(rt, audit.Check(operations, audit.NewState(), valued(till, count)).Findings)
--- a/core/audit/models_test.go
+++ b/core/audit/models_test.go
@@ -79,7 +79,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			var attempts []audit.Attempt
+			attempts := make([]audit.Attempt, 0, len(c.answers))
 			for i, answer := range c.answers {
 				attempts = append(attempts, audit.Attempt{
 					RequestKey: "refund-1", Answer: answer,
--- a/io/check/fleet.go
+++ b/io/check/fleet.go
@@ -58,7 +58,7 @@
 }
 
 func (f *Fleet) newMembers(d int) []*Member {
-	var members []*Member
+	members := make([]*Member, 0, f.layout.Members)
 	for i := range f.layout.Members {
 		target := types.TargetID(fmt.Sprintf("%s-%c", f.layout.databaseID(d), 'a'+i))
 		var primary *Member
@@ -111,7 +111,7 @@
 
 // targets returns the platform's list of what is live.
 func (f *Fleet) targets() []fakekv.Target {
-	var targets []fakekv.Target
+	targets := make([]fakekv.Target, 0, len(f.Instances)+len(f.AllMembers()))
 	for _, i := range f.Instances {
 		targets = append(targets, fakekv.Target{
 			ID: string(i.ID), Kind: fakekv.KindInstance, Address: i.peersAddress, DataCentre: i.DataCentre, State: fakekv.StateLive,
@@ -137,8 +137,10 @@
 // waitListening waits until the platform and every member accept connections.
 func (f *Fleet) waitListening() {
 	f.tb.Helper()
-	addresses := []string{f.Platform.Direct}
-	for _, m := range f.AllMembers() {
+	members := f.AllMembers()
+	addresses := make([]string, 0, 1+len(members))
+	addresses = append(addresses, f.Platform.Direct)
+	for _, m := range members {
 		addresses = append(addresses, m.Direct)
 	}
 	for _, address := range addresses {
