--- /dev/null
+++ b/io/owner/bench_test.go
@@ -0,0 +1,106 @@
+package owner_test
+
+import (
+	"fmt"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"turmericpulley/core/class"
+	"turmericpulley/core/policy"
+	"turmericpulley/core/trace"
+	"turmericpulley/core/types"
+	"turmericpulley/io/check"
+	"turmericpulley/io/owner"
+)
+
+const (
+	benchOwners = 60
+	benchSpan   = 5 * time.Second
+	benchEpoch  = 1 << 20
+)
+
+// BenchmarkOwned reports what each owned database costs its instance while nothing happens. The members are processes
+// of their own, which all owners share.
+func BenchmarkOwned(b *testing.B) {
+	layout := check.DefaultLayout()
+	layout.Instances = 0
+	layout.Connections = 0
+	f := check.NewFleet(b, layout)
+	for b.Loop() {
+		memoryBefore, goroutinesBefore := used(), runtime.NumGoroutine()
+		before := rest(b, nil)
+		counters := &owner.Counters{}
+		owners := make([]*owner.Owner, 0, benchOwners)
+		for index := range benchOwners {
+			owners = append(owners, newOwner(f, counters, index))
+		}
+		require.Eventually(b, func() bool {
+			for _, o := range owners {
+				if o.Report().Phase != "serving" {
+					return false
+				}
+			}
+			return true
+		}, 30*time.Second, 20*time.Millisecond)
+		after := rest(b, counters)
+		b.ReportMetric((after.busy-before.busy).Seconds()/benchSpan.Seconds()/benchOwners*100, "core-%/database")
+		b.ReportMetric(float64(after.calls)/benchSpan.Seconds()/benchOwners, "calls/s/database")
+		b.ReportMetric(float64(runtime.NumGoroutine()-goroutinesBefore)/benchOwners, "goroutines/database")
+		b.ReportMetric(float64(used()-memoryBefore)/benchOwners, "B/database")
+		for _, o := range owners {
+			o.Close()
+		}
+	}
+}
+
+func newOwner(f *check.Fleet, counters *owner.Counters, index int) *owner.Owner {
+	database := policy.Database{Database: types.DatabaseID(fmt.Sprintf("database-%d", index))}
+	for _, m := range f.Members[0] {
+		database.Members = append(database.Members, policy.Member{Target: m.Target, Address: m.Direct, DataCentre: m.DataCentre})
+	}
+	return owner.New(owner.Settings{
+		Group: policy.Group{Group: "orders-db", Slots: 2, Connections: 15}, Database: database, Epoch: benchEpoch,
+		Writes: class.NewWrites(), Counters: counters, Recorder: trace.New("instance", 100), Logger: hclog.NewNullLogger(),
+	})
+}
+
+// resting is what a while without work took.
+type resting struct {
+	busy  time.Duration
+	calls int64
+}
+
+// rest waits and returns what that took.
+func rest(b *testing.B, counters *owner.Counters) resting {
+	b.Helper()
+	calls := func() int64 {
+		if counters == nil {
+			return 0
+		}
+		return counters.MonitorCalls.Load()
+	}
+	busy, made := busyTime(b), calls()
+	time.Sleep(benchSpan)
+	return resting{busy: busyTime(b) - busy, calls: calls() - made}
+}
+
+func busyTime(b *testing.B) time.Duration {
+	b.Helper()
+	usage := syscall.Rusage{}
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func used() uint64 {
+	for range 2 {
+		runtime.GC()
+	}
+	stats := runtime.MemStats{}
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc + stats.StackInuse
+}
