feat: a planned handover skips the wait for the lease

Cause: a stopping owner released its databases before the successor asked, so the successor waited out a lease. The time up to which nobody else can serve is now kept for the first one who asks, and the successor may skip the wait only until then. Silent connections: one found silent drops the idle ones of all members, since three in a row took 3.03 s (seen failing at 3 s).

--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -69,8 +69,8 @@
 }
 
 // Release lets the transactions in flight finish, then gives up the members; new ones are refused at once. It returns
-// true when all finished and the lease held to the end.
-func (o *Owner) Release(ctx context.Context) bool {
+// the time up to which no other owner can have started to serve, zero when some transactions did not finish.
+func (o *Owner) Release(ctx context.Context) time.Time {
 	o.mu.Lock()
 	if !o.draining {
 		o.draining = true
@@ -85,9 +85,12 @@
 	case <-ctx.Done():
 		finished = false
 	}
-	leased := o.state.leaseHolds()
+	until := o.state.leaseUntil()
 	o.Close()
-	return finished && leased
+	if !finished {
+		return time.Time{}
+	}
+	return until
 }
 
 // Close ends all connections to the members at once and waits for the owner's goroutines.
--- a/io/owner/settings.go
+++ b/io/owner/settings.go
@@ -16,8 +16,9 @@
 	Group    policy.Group
 	Database policy.Database
 	Epoch    types.Epoch
-	// HandedOver says that the previous owner has stopped, so that its lease need not be waited for.
-	HandedOver bool
+	// HandedOverUntil is the time up to which no owner but the previous one, which has stopped, can have served; until
+	// then its lease need not be waited for.
+	HandedOverUntil time.Time
 	// Resolve maps a member's address to the one to dial; nil means the same.
 	Resolve  func(address string) string
 	Writes   *class.Writes
--- a/io/owner/silence.go
+++ b/io/owner/silence.go
@@ -57,10 +57,18 @@
 	}
 	if w.conn.Received() == w.seen {
 		w.owner.settings.Counters.Silent.Add(1)
+		w.owner.dropIdle()
 		w.conn.Abort()
 	}
 }
 
+// dropIdle closes the idle connections to all members: what made one silent may have silenced others unnoticed.
+func (o *Owner) dropIdle() {
+	for _, m := range o.members {
+		m.pool.dropIdle()
+	}
+}
+
 // isWorking asks a member over a fresh connection whether it runs a statement for a process id.
 func (o *Owner) isWorking(m policy.Member, pid uint32) (bool, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
--- a/io/owner/state.go
+++ b/io/owner/state.go
@@ -102,15 +102,24 @@
 	return s.leaseHoldsLocked()
 }
 
-func (s *state) leaseHoldsLocked() bool {
+func (s *state) leaseHoldsLocked() bool { return time.Now().Before(s.leaseUntilLocked()) }
+
+// leaseUntil returns the time up to which no other owner can have started to serve.
+func (s *state) leaseUntil() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaseUntilLocked()
+}
+
+func (s *state) leaseUntilLocked() time.Time {
 	if s.phase == lost {
-		return false
+		return time.Time{}
 	}
 	observations := make([]quorum.Observation, 0, len(s.observations))
 	for _, o := range s.observations {
 		observations = append(observations, o)
 	}
-	return time.Now().Before(quorum.LeaseUntil(observations, s.epoch, s.majority))
+	return quorum.LeaseUntil(observations, s.epoch, s.majority)
 }
 
 // up returns what the members that can be reached reported.
--- a/io/owner/stateview.go
+++ b/io/owner/stateview.go
@@ -19,14 +19,14 @@
 	return s.primary, s.term
 }
 
-// mayServe reports whether a majority is claimed and the lease of the previous owner is over.
-func (s *state) mayServe(now time.Time, handedOver bool) bool {
+// mayServe reports whether a majority is claimed and the lease of the previous owner is over or was handed over.
+func (s *state) mayServe(now, handedOverUntil time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.claims) < s.majority {
 		return false
 	}
-	return handedOver || !now.Before(s.serveAfter)
+	return now.Before(handedOverUntil) || !now.Before(s.serveAfter)
 }
 
 // supersededBy returns the highest epoch that any member reported.
--- a/io/server/fleet_test.go
+++ b/io/server/fleet_test.go
@@ -113,6 +113,7 @@
 	config.RuntimeParams["pulley.session"] = session
 	var conn *pgx.Conn
 	require.EventuallyWithT(t, func(c *assertT) {
+		require.True(c, f.servers[instance].Report().Ready)
 		conn, err = pgx.ConnectConfig(context.Background(), config)
 		require.NoError(c, err)
 	}, 5*time.Second, 20*time.Millisecond)
--- a/io/server/owners.go
+++ b/io/server/owners.go
@@ -39,8 +39,10 @@
 	stop    context.CancelFunc
 	duties  sync.WaitGroup
 
-	mu       sync.Mutex
-	held     map[types.DatabaseID]*holding
+	mu   sync.Mutex
+	held map[types.DatabaseID]*holding
+	// released holds until when no other owner can serve a database that was released and not yet handed to anyone.
+	released map[types.DatabaseID]time.Time
 	stopping bool
 }
 
@@ -69,6 +71,7 @@
 		running:  running,
 		stop:     stop,
 		held:     map[types.DatabaseID]*holding{},
+		released: map[types.DatabaseID]time.Time{},
 	}
 	m.duties.Go(func() { m.reconcileOnChange(running, s.changes) })
 	return m
@@ -178,19 +181,20 @@
 	h := &holding{ready: make(chan struct{})}
 	m.held[database.Database] = h
 	m.duties.Go(func() {
-		handedOver := m.askRelease(database)
+		handedOverUntil := m.askRelease(database)
 		h.owner = owner.New(owner.Settings{
-			Group:      group,
-			Database:   database,
-			Epoch:      m.entitler.epochFor(database.Database, x),
-			HandedOver: handedOver,
-			Resolve:    m.resolve,
-			Writes:     m.writes,
-			Counters:   m.counters,
-			Recorder:   m.recorder,
-			Logger:     m.logger,
+			Group:           group,
+			Database:        database,
+			Epoch:           m.entitler.epochFor(database.Database, x),
+			HandedOverUntil: handedOverUntil,
+			Resolve:         m.resolve,
+			Writes:          m.writes,
+			Counters:        m.counters,
+			Recorder:        m.recorder,
+			Logger:          m.logger,
 		})
-		m.logger.Info("database taken", "database", database.Database, "epoch", h.owner.Epoch(), "handedOver", handedOver)
+		m.logger.Info("database taken", "database", database.Database, "epoch", h.owner.Epoch(),
+			"handedOver", !handedOverUntil.IsZero())
 		close(h.ready)
 	})
 	return h
--- a/io/server/release.go
+++ b/io/server/release.go
@@ -16,9 +16,9 @@
 // releaseCandidates is the number of next-ranked instances that may have owned a database before.
 const releaseCandidates = 2
 
-// askRelease asks the instances that may own the database to hand it over; it returns true when one of them did so while
-// its lease held, which proves that no other owner was serving.
-func (m *owners) askRelease(database policy.Database) bool {
+// askRelease asks the instances that may own the database to hand it over; when one of them did so while its lease held,
+// no other owner can serve before the time returned.
+func (m *owners) askRelease(database policy.Database) time.Time {
 	members := m.network.Membership()
 	var candidates []fleet.Instance
 	for _, i := range members.Ranked(database) {
@@ -34,21 +34,25 @@
 	candidates = slices.DeleteFunc(candidates, func(i fleet.Instance) bool { return m.network.Suspected(i.ID) })
 	ctx, cancel := context.WithTimeout(m.running, releaseTimeout+time.Second)
 	defer cancel()
-	released := make(chan bool, len(candidates))
+	released := make(chan time.Time, len(candidates))
 	for _, i := range candidates {
 		go func() { released <- m.requestRelease(ctx, i.ID, database.Database) }()
 	}
-	handedOver := false
+	var until time.Time
 	for range candidates {
-		handedOver = <-released || handedOver
+		if leased := <-released; leased.After(until) {
+			until = leased
+		}
 	}
-	return handedOver
+	return until
 }
 
-func (m *owners) requestRelease(ctx context.Context, id types.InstanceID, database types.DatabaseID) bool {
+// requestRelease asks one instance and returns the end of its lease at the earliest; zero when it did not hand over.
+func (m *owners) requestRelease(ctx context.Context, id types.InstanceID, database types.DatabaseID) time.Time {
+	sentAt := time.Now()
 	s, err := m.network.Open(ctx, id, &wire.Begin{RequestId: 1, Database: string(database), Release: true})
 	if err != nil {
-		return false
+		return time.Time{}
 	}
 	defer func() { _ = s.Close() }()
 	if deadline, ok := ctx.Deadline(); ok {
@@ -56,39 +60,47 @@
 	}
 	defer context.AfterFunc(ctx, func() { _ = s.Close() })()
 	f, err := s.Receive()
-	return err == nil && f.GetOutcome().GetPosition() > 0
+	if err != nil || f.GetOutcome().GetPosition() == 0 {
+		return time.Time{}
+	}
+	return sentAt.Add(time.Duration(f.GetOutcome().GetPosition()) * time.Millisecond)
 }
 
-// answerRelease hands a database over; the answer carries the epoch when it was owned with a lease to the end.
+// answerRelease hands a database over; the answer carries, as its position, the milliseconds for which no other owner can
+// serve. Only the first one who asks gets that answer.
 func (m *owners) answerRelease(ctx context.Context, begin *wire.Begin, s owner.Stream) {
-	epoch := m.release(ctx, types.DatabaseID(begin.GetDatabase()))
-	_ = s.Send(&wire.Frame{RequestId: begin.GetRequestId(), Outcome: &wire.Outcome{Position: uint64(epoch)}})
+	database := types.DatabaseID(begin.GetDatabase())
+	m.release(ctx, database)
+	m.mu.Lock()
+	until := m.released[database]
+	delete(m.released, database)
+	m.mu.Unlock()
+	remaining := max(time.Until(until).Milliseconds(), 0)
+	_ = s.Send(&wire.Frame{RequestId: begin.GetRequestId(), Outcome: &wire.Outcome{Position: uint64(remaining)}})
 }
 
-// release gives up a database after its transactions in flight; it returns the epoch when the lease held until then.
-func (m *owners) release(ctx context.Context, database types.DatabaseID) types.Epoch {
+// release gives up a database after its transactions in flight.
+func (m *owners) release(ctx context.Context, database types.DatabaseID) {
 	m.mu.Lock()
 	h, ok := m.held[database]
 	m.mu.Unlock()
 	if !ok {
-		return 0
+		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	o := h.await(ctx)
 	if o == nil {
-		return 0
+		return
 	}
-	leased := o.Release(ctx)
+	until := o.Release(ctx)
 	m.mu.Lock()
-	if m.held[database] == h {
-		delete(m.held, database)
-	}
-	m.mu.Unlock()
-	if !leased {
-		return 0
+	defer m.mu.Unlock()
+	if m.held[database] != h {
+		return
 	}
-	return o.Epoch()
+	delete(m.held, database)
+	m.released[database] = until
 }
 
 // releaseAll hands over every database and takes no others.
