--- /dev/null
+++ b/io/check/contract_test.go
@@ -0,0 +1,71 @@
+package check_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"turmericpulley/core/policy"
+	"turmericpulley/core/types"
+	"turmericpulley/io/check"
+	"turmericpulley/io/load"
+)
+
+// Two customers ask for several times what the slots give while the owner dies; the members count what they saw.
+func TestContractsHoldUnderOverload(t *testing.T) {
+	t.Parallel()
+	const neighbour types.CustomerID = "omprela"
+	layout := check.DefaultLayout()
+	layout.StatementTime = 5 * time.Millisecond
+	layout.Contracts = append(layout.Contracts, check.NewContract(neighbour, layout.Group))
+	layout.Contracts[0].Connections = 3
+	layout.Contracts[1].Connections = 4
+	f := check.NewFleet(t, layout)
+	results := overload(t, f, layout.Contracts)
+	for i, result := range results {
+		t.Logf("%s\n%s", layout.Contracts[i].Customer, result.Text())
+		f.RequireClean(result)
+	}
+	require.InEpsilon(t, results[0].AcknowledgedWrites, results[1].AcknowledgedWrites, 0.5, "one customer starved the other")
+	reached := map[types.CustomerID]int{}
+	for _, m := range f.Members[0] {
+		peaks, err := m.Peaks()
+		require.NoError(t, err)
+		for _, contract := range layout.Contracts {
+			reached[contract.Customer] = max(reached[contract.Customer], peaks[contract.Customer].Connections)
+			require.LessOrEqual(t, peaks[contract.Customer].Connections, contract.Connections, "%s at %s", contract.Customer, m.Target)
+		}
+		require.LessOrEqual(t, peaks[check.EveryCustomer].Connections, layout.Connections, "connections of %s", m.Target)
+	}
+	for _, contract := range layout.Contracts {
+		require.Equal(t, contract.Connections, reached[contract.Customer], "%s never reached its limit", contract.Customer)
+	}
+}
+
+// overload runs the same load for every customer at once and kills the owner half way.
+func overload(t *testing.T, f *check.Fleet, contracts []policy.Contract) []load.Result {
+	t.Helper()
+	results := make([]load.Result, len(contracts))
+	problems := make([]error, len(contracts))
+	var running sync.WaitGroup
+	for i, contract := range contracts {
+		settings := f.Load()
+		settings.Customer = contract.Customer
+		settings.Rate = 400
+		settings.WriteShare = 0.6
+		settings.Duration = 4 * time.Second
+		settings.RequestTimeout = 3 * time.Second
+		running.Go(func() { results[i], problems[i] = load.Run(context.Background(), settings) })
+	}
+	owner := f.Owner(0)
+	time.Sleep(faultDelay)
+	owner.Kill()
+	running.Wait()
+	for _, err := range problems {
+		require.NoError(t, err)
+	}
+	return results
+}
--- a/io/check/instance.go
+++ b/io/check/instance.go
@@ -86,6 +86,9 @@
 	return seeds
 }
 
+// CallersDirect returns where the instance itself listens for callers, past the link.
+func (i *Instance) CallersDirect() string { return i.callersAddress }
+
 // Ready reports whether the instance takes requests.
 func (i *Instance) Ready() bool {
 	client := http.Client{Timeout: time.Second}
