fix: a planned stop says that requests on idle connections did not run

Cause: the farewell on an idle connection carried 57P01, which says nothing about a request sent at the same moment; it now is the refusal 57P03, not run, which is true because nothing is read after it. Two releases of one database at once lost the end of the lease, so the successor waited a second.

--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -27,7 +27,10 @@
 	mu       sync.Mutex
 	inFlight int
 	draining bool
-	idle     chan struct{}
+	released bool
+	// releasedUntil is the end of the lease when the database was released.
+	releasedUntil time.Time
+	idle          chan struct{}
 }
 
 // New claims the members of a database and starts to watch them.
@@ -85,14 +88,24 @@
 	case <-ctx.Done():
 		finished = false
 	}
-	until := o.state.leaseUntil()
+	until := o.noteRelease(finished)
 	o.Close()
-	if !finished {
-		return time.Time{}
-	}
 	return until
 }
 
+// noteRelease keeps the end of the lease at the first release, which later ones return as well.
+func (o *Owner) noteRelease(finished bool) time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.released {
+		o.released = true
+		if finished {
+			o.releasedUntil = o.state.leaseUntil()
+		}
+	}
+	return o.releasedUntil
+}
+
 // Close ends all connections to the members at once and waits for the owner's goroutines.
 func (o *Owner) Close() {
 	o.state.lose(0)
--- a/io/pgsrv/ending.go
+++ b/io/pgsrv/ending.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"turmericpulley/core/fault"
 )
 
 // explain tells the caller why its connection ends, when there is something to say.
@@ -13,7 +15,8 @@
 	var v *violation
 	switch {
 	case errors.Is(err, errStopping):
-		c.sendFatal(stateAdminShutdown, "not run: this instance is stopping; connect to another instance")
+		f := fault.New(fault.Stopping, "this instance is stopping")
+		c.sendFatal(f.SQLState(), f.Error())
 	case errors.As(err, &v):
 		c.server.counters.Malformed.Add(1)
 		c.stopExchange(false)
--- a/io/pgsrv/states.go
+++ b/io/pgsrv/states.go
@@ -2,7 +2,6 @@
 
 // SQLSTATEs of errors that have no fault kind.
 const (
-	stateAdminShutdown       = "57P01"
 	stateDuplicateStatement  = "42P05"
 	stateFailedTransaction   = "25P02"
 	stateFeatureNotSupported = "0A000"
