--- /dev/null
+++ b/io/owner/bytes_test.go
@@ -0,0 +1,85 @@
+package owner_test
+
+import (
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"turmericpulley/core/class"
+	"turmericpulley/core/policy"
+	"turmericpulley/core/trace"
+	"turmericpulley/io/check"
+	"turmericpulley/io/owner"
+)
+
+// BenchmarkWatchBytes reports the bytes on the wire, both directions, that one owned database costs while nothing
+// happens.
+func BenchmarkWatchBytes(b *testing.B) {
+	layout := check.DefaultLayout()
+	layout.Instances = 0
+	f := check.NewFleet(b, layout)
+	carried := atomic.Int64{}
+	database := policy.Database{Database: "database"}
+	for _, m := range f.Members[0] {
+		database.Members = append(database.Members, policy.Member{
+			Target: m.Target, Address: countingRelay(b, m.Direct, &carried), DataCentre: m.DataCentre,
+		})
+	}
+	counters := &owner.Counters{}
+	o := owner.New(owner.Settings{
+		Group: policy.Group{Group: "orders-db", Slots: 2, Connections: 15}, Database: database, Epoch: benchEpoch,
+		Writes: class.NewWrites(), Counters: counters, Recorder: trace.New("instance", 100), Logger: hclog.NewNullLogger(),
+	})
+	b.Cleanup(o.Close)
+	rest(b, counters)
+	for b.Loop() {
+		before := carried.Load()
+		after := rest(b, counters)
+		b.ReportMetric(float64(carried.Load()-before)/benchSpan.Seconds(), "B/s/database")
+		b.ReportMetric(float64(carried.Load()-before)/float64(after.calls), "B/call")
+	}
+}
+
+// countingRelay passes connections on to the address and counts their bytes.
+func countingRelay(b *testing.B, address string, carried *atomic.Int64) string {
+	b.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	b.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", address)
+			if err != nil {
+				_ = near.Close()
+				continue
+			}
+			go carry(near, far, carried)
+			go carry(far, near, carried)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func carry(to, from net.Conn, carried *atomic.Int64) {
+	defer func() { _ = to.Close() }()
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		carried.Add(int64(n))
+		if n > 0 {
+			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
