fix: accepted waits for instances that were removed a moment ago

With real processes, an instance that was paused left the membership after 1 s and apply then said accepted after 1.1 s, while the paused instance, once resumed, could work by the old contract until its copy was 2 s old.

--- a/core/accept/progress.go
+++ b/core/accept/progress.go
@@ -1,6 +1,7 @@
 package accept
 
 import (
+	"slices"
 	"time"
 
 	"turmericpulley/core/fleet"
@@ -16,11 +17,15 @@
 // An instance takes new work only while the store, or instances that together are a majority of the membership, lately
 // confirmed its contracts. Once a majority has the change in force, every confirmation by a majority includes an
 // instance that has it, because two majorities have a member in common. Every confirmation by the store includes it
-// from the start. An instance without the change therefore stops within the freshness bound after that.
+// from the start. An instance without the change therefore stops within the freshness bound after that. The bound is
+// waited out even when every member has the change, because an instance that was removed from the membership a moment
+// ago, such as a paused one, does not know of its removal yet.
 type Progress struct {
 	stored  time.Time
 	members fleet.Membership
-	inForce map[types.InstanceID]fleet.Incarnation
+	// seen holds the incarnation of every instance that was a member at some time.
+	seen    map[types.InstanceID]fleet.Incarnation
+	inForce map[types.InstanceID]bool
 	heard   map[types.InstanceID]time.Time
 	// majority is when a majority was first known to have the change in force; zero before that.
 	majority time.Time
@@ -30,24 +35,22 @@
 func New(stored time.Time) *Progress {
 	return &Progress{
 		stored:  stored,
-		inForce: map[types.InstanceID]fleet.Incarnation{},
+		seen:    map[types.InstanceID]fleet.Incarnation{},
+		inForce: map[types.InstanceID]bool{},
 		heard:   map[types.InstanceID]time.Time{},
 	}
 }
 
 // Follow takes the present membership; a new incarnation counts as heard and has nothing in force.
 func (p *Progress) Follow(members fleet.Membership, now time.Time) {
+	p.members = members
 	for _, i := range members.Instances {
-		if before, found := p.members.Find(i.ID); !found || before.Incarnation != i.Incarnation {
+		if incarnation, known := p.seen[i.ID]; !known || incarnation != i.Incarnation {
+			p.seen[i.ID] = i.Incarnation
 			p.heard[i.ID] = now
+			delete(p.inForce, i.ID)
 		}
 	}
-	for id, incarnation := range p.inForce {
-		if i, found := members.Find(id); !found || i.Incarnation != incarnation {
-			delete(p.inForce, id)
-		}
-	}
-	p.members = members
 	p.update(now)
 }
 
@@ -55,8 +58,8 @@
 func (p *Progress) Answered(by types.InstanceID, inForce []types.InstanceID, now time.Time) {
 	p.heard[by] = now
 	for _, id := range inForce {
-		if i, found := p.members.Find(id); found {
-			p.inForce[id] = i.Incarnation
+		if _, known := p.seen[id]; known {
+			p.inForce[id] = true
 		}
 	}
 	p.update(now)
@@ -64,36 +67,39 @@
 
 // State returns how far the change has come.
 func (p *Progress) State(now time.Time) State {
-	s := State{}
+	s := State{Settled: len(p.seen) == 0 || p.quietSince(p.majority, now)}
 	for _, i := range p.members.Instances {
 		switch {
-		case p.holds(i.ID):
+		case p.inForce[i.ID]:
 			s.InForce = append(s.InForce, i.ID)
 		case i.State != fleet.Live:
-		case p.isolated(i.ID, now):
+		case s.Settled && p.quietSince(p.heard[i.ID], now):
 			s.Isolated = append(s.Isolated, i.ID)
 		default:
 			s.Waiting = append(s.Waiting, i.ID)
 		}
 	}
+	s.Removed = p.removed()
 	return s
 }
 
-func (p *Progress) holds(id types.InstanceID) bool {
-	_, held := p.inForce[id]
-	return held
+func (p *Progress) removed() []types.InstanceID {
+	var ids []types.InstanceID
+	for id := range p.seen {
+		if _, present := p.members.Find(id); !present && !p.inForce[id] {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
 }
 
-// isolated reports whether the instance has been silent for so long that it has stopped taking work by old contracts.
-func (p *Progress) isolated(id types.InstanceID, now time.Time) bool {
-	if p.majority.IsZero() {
-		return false
-	}
-	return now.Sub(p.majority) >= IsolationBound && now.Sub(p.heard[id]) >= IsolationBound
+func (p *Progress) quietSince(at, now time.Time) bool {
+	return !at.IsZero() && now.Sub(at) >= IsolationBound
 }
 
 func (p *Progress) update(now time.Time) {
-	if 2*len(p.inForce) <= len(p.members.Instances) {
+	if 2*len(p.inForce) <= len(p.seen) {
 		p.majority = time.Time{}
 		return
 	}
--- a/core/accept/state.go
+++ b/core/accept/state.go
@@ -10,7 +10,11 @@
 	Waiting []types.InstanceID
 	// Isolated lists the live instances that have been silent for so long that they have stopped taking work.
 	Isolated []types.InstanceID
+	// Removed lists the instances that left the membership meanwhile without having confirmed it.
+	Removed []types.InstanceID
+	// Settled is true once instances outside the membership have had time to stop.
+	Settled bool
 }
 
 // Accepted reports whether no instance takes new work by an older contract.
-func (s State) Accepted() bool { return len(s.Waiting) == 0 }
+func (s State) Accepted() bool { return s.Settled && len(s.Waiting) == 0 }
--- a/io/admin/apply.go
+++ b/io/admin/apply.go
@@ -21,22 +21,27 @@
 	if done != nil {
 		return *done
 	}
+	regions, err := c.regions(storing)
+	if err != nil {
+		return prepared.result(NotRun, 0, "reading the instances: "+err.Error())
+	}
 	result := c.submit(storing, prepared)
 	if result.Outcome != Pending {
 		return result
 	}
 	waiting, cancel := context.WithTimeout(ctx, c.settings.Timeout)
 	defer cancel()
-	return c.confirm(waiting, result)
+	spread := newSpread(time.Now())
+	spread.follow(regions, time.Now())
+	return c.confirm(waiting, spread, result)
 }
 
 // confirm asks the instances until the change is accepted or the time is over.
-func (c *Client) confirm(ctx context.Context, result Result) Result {
-	spread := newSpread(time.Now())
+func (c *Client) confirm(ctx context.Context, spread *spread, result Result) Result {
 	for {
 		problem := c.round(ctx, spread, result)
-		result = spread.fill(result, time.Now())
-		if problem == nil && len(result.Waiting) == 0 {
+		accepted := spread.fill(&result, time.Now())
+		if problem == nil && accepted {
 			result.Outcome = Accepted
 			return result
 		}
@@ -93,9 +98,9 @@
 func (s *spread) follow(regions map[string]fleet.Membership, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for key := range s.regions {
+	for key, progress := range s.regions {
 		if _, found := regions[key]; !found {
-			delete(s.regions, key)
+			progress.Follow(fleet.Membership{}, now)
 		}
 	}
 	for key, members := range regions {
@@ -112,16 +117,19 @@
 	s.regions[region].Answered(by, inForce, time.Now())
 }
 
-// fill lists the instances of all regions in the result.
-func (s *spread) fill(result Result, now time.Time) Result {
+// fill lists the instances of all regions in the result and reports whether the change is accepted in all.
+func (s *spread) fill(result *Result, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	result.InForce, result.Waiting, result.Isolated = nil, nil, nil
+	result.InForce, result.Waiting, result.Isolated, result.Removed = nil, nil, nil, nil
+	accepted := true
 	for _, progress := range s.regions {
 		state := progress.State(now)
+		accepted = accepted && state.Accepted()
 		result.InForce = append(result.InForce, state.InForce...)
 		result.Waiting = append(result.Waiting, state.Waiting...)
 		result.Isolated = append(result.Isolated, state.Isolated...)
+		result.Removed = append(result.Removed, state.Removed...)
 	}
-	return result
+	return accepted
 }
--- a/io/admin/outcome.go
+++ b/io/admin/outcome.go
@@ -28,6 +28,7 @@
 	InForce  []types.InstanceID `json:"inForce,omitempty"`
 	Waiting  []types.InstanceID `json:"waiting,omitempty"`
 	Isolated []types.InstanceID `json:"isolated,omitempty"`
+	Removed  []types.InstanceID `json:"removed,omitempty"`
 	// Detail says what happened and what to do about it.
 	Detail string `json:"detail,omitempty"`
 }
--- a/io/admin/settings.go
+++ b/io/admin/settings.go
@@ -9,8 +9,8 @@
 const (
 	// DefaultTimeout bounds the wait for a change, to be stored and then to be in force.
 	DefaultTimeout = 5 * time.Second
-	// askTimeout bounds one question to one instance.
-	askTimeout = time.Second
+	// askTimeout bounds one question to one instance, which waits up to 1 s for others before it answers.
+	askTimeout = 1500 * time.Millisecond
 	// storeTimeout bounds one call to the platform, so that a lost answer leaves time to read back.
 	storeTimeout = time.Second
 	// pollInterval is the pause between two rounds of questions.
