feat: members that the platform lists as leaving get no new work

Cause: only a member's own notice counted. Seen failing first: TestListedAsLeaving found transactions on a listed member after 3 s. Change: instances read the list once a second, less often the more there are. After: it passes for primary and replica.

--- a/io/owner/monitor.go
+++ b/io/owner/monitor.go
@@ -63,6 +63,9 @@
 		if observed.Target != m.info.Target {
 			return false, errWrongMember(m.info, observed.Target)
 		}
+		if o.settings.Leaving != nil && o.settings.Leaving(m.info.Target) {
+			observed.Leaving = true
+		}
 		if !o.state.observe(observed) {
 			return true, nil
 		}
--- a/io/owner/settings.go
+++ b/io/owner/settings.go
@@ -19,6 +19,8 @@
 	// HandedOverUntil is the time up to which no owner but the previous one, which has stopped, can have served; until
 	// then its lease need not be waited for.
 	HandedOverUntil time.Time
+	// Leaving reports whether the platform lists a member as leaving; nil means none.
+	Leaving func(types.TargetID) bool
 	// Resolve maps a member's address to the one to dial; nil means the same.
 	Resolve  func(address string) string
 	Writes   *class.Writes
--- /dev/null
+++ b/io/server/leaving.go
@@ -0,0 +1,61 @@
+package server
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"turmericpulley/core/fleet"
+	"turmericpulley/core/types"
+)
+
+const (
+	leastListPeriod = time.Second
+	// listPeriodPerInstance keeps the calls of all instances together below a hundred a second.
+	listPeriodPerInstance = 10 * time.Millisecond
+)
+
+// leaving knows which members the platform lists as leaving; it is safe for concurrent use.
+type leaving struct {
+	list    func(context.Context) ([]fleet.Listed, error)
+	network network
+	targets atomic.Pointer[map[types.TargetID]struct{}]
+}
+
+func newLeaving(list func(context.Context) ([]fleet.Listed, error), n network) *leaving {
+	l := &leaving{list: list, network: n}
+	l.targets.Store(&map[types.TargetID]struct{}{})
+	return l
+}
+
+// contains reports whether the platform lists the member as leaving.
+func (l *leaving) contains(target types.TargetID) bool {
+	_, ok := (*l.targets.Load())[target]
+	return ok
+}
+
+// poll reads the list until the context ends; what was known stays while the platform does not answer.
+func (l *leaving) poll(ctx context.Context) {
+	for {
+		if listed, err := l.list(ctx); err == nil {
+			l.replace(listed)
+		}
+		timer := time.NewTimer(max(leastListPeriod, time.Duration(len(l.network.Membership().Instances))*listPeriodPerInstance))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+	}
+}
+
+func (l *leaving) replace(listed []fleet.Listed) {
+	targets := map[types.TargetID]struct{}{}
+	for _, entry := range listed {
+		if entry.Kind == fleet.ListedTarget && entry.State == fleet.Leaving {
+			targets[types.TargetID(entry.ID)] = struct{}{}
+		}
+	}
+	l.targets.Store(&targets)
+}
--- a/io/server/owners.go
+++ b/io/server/owners.go
@@ -9,6 +9,7 @@
 
 	"turmericpulley/core/class"
 	"turmericpulley/core/fault"
+	"turmericpulley/core/fleet"
 	"turmericpulley/core/policy"
 	"turmericpulley/core/trace"
 	"turmericpulley/core/types"
@@ -32,6 +33,7 @@
 	counters *owner.Counters
 	recorder *trace.Recorder
 	resolve  func(string) string
+	leaving  *leaving
 	logger   hclog.Logger
 
 	// running ends when the instance closes.
@@ -53,6 +55,7 @@
 	counters *owner.Counters
 	recorder *trace.Recorder
 	resolve  func(string) string
+	list     func(context.Context) ([]fleet.Listed, error)
 	logger   hclog.Logger
 	changes  <-chan struct{}
 }
@@ -67,6 +70,7 @@
 		counters: s.counters,
 		recorder: s.recorder,
 		resolve:  s.resolve,
+		leaving:  newLeaving(s.list, s.network),
 		logger:   s.logger,
 		running:  running,
 		stop:     stop,
@@ -74,6 +78,7 @@
 		released: map[types.DatabaseID]time.Time{},
 	}
 	m.duties.Go(func() { m.reconcileOnChange(running, s.changes) })
+	m.duties.Go(func() { m.leaving.poll(running) })
 	return m
 }
 
@@ -187,6 +192,7 @@
 			Database:        database,
 			Epoch:           m.entitler.epochFor(database.Database, x),
 			HandedOverUntil: handedOverUntil,
+			Leaving:         m.leaving.contains,
 			Resolve:         m.resolve,
 			Writes:          m.writes,
 			Counters:        m.counters,
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -115,6 +115,7 @@
 		counters: &v.counters,
 		recorder: v.recorder,
 		resolve:  v.settings.link,
+		list:     v.store.Targets,
 		logger:   v.logger.Named("owner"),
 		changes:  v.peers.Subscribe(),
 	})
