test: commands for operators through Execute

Exit codes, all faults of a document at once, conflicts of edited documents, pending changes, explain and status are run as an operator runs them.

--- /dev/null
+++ b/cmd/contract_test.go
@@ -0,0 +1,150 @@
+package cmd_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"turmericpulley/cmd"
+	"turmericpulley/core/fleet"
+	"turmericpulley/core/policy"
+	"turmericpulley/core/trace"
+	"turmericpulley/io/admin"
+	"turmericpulley/io/fakekv"
+)
+
+// ran is what a run of the program returned.
+type ran struct {
+	code     int
+	out      string
+	problems string
+}
+
+func execute(arguments ...string) ran {
+	var out, problems bytes.Buffer
+	code := cmd.Execute(arguments, &out, &problems)
+	return ran{code: code, out: out.String(), problems: problems.String()}
+}
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "contract.json")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func newPlatform(t *testing.T, instances ...fleet.Instance) *fakekv.Platform {
+	t.Helper()
+	members, err := fleet.Membership{Instances: instances}.Encode()
+	require.NoError(t, err)
+	platform, err := fakekv.Start(fakekv.Settings{Address: "127.0.0.1:0", Seed: map[string]string{"instances/r": string(members)}})
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, platform.Close()) })
+	return platform
+}
+
+const contractText = `{"customer":"sencnik","groups":["orders-db"],"connections":5}`
+
+func TestContractCommands(t *testing.T) {
+	platform := newPlatform(t)
+	at := "--platform=" + platform.URL()
+	path := write(t, contractText)
+	require.Equal(t, 1, execute("contract", "get", "sencnik", at).code)
+
+	applied := execute("contract", "apply", path, "--revision=0", "--json", at)
+	require.Equal(t, 0, applied.code, applied.problems)
+	var result admin.Result
+	require.NoError(t, json.Unmarshal([]byte(applied.out), &result))
+	require.Equal(t, admin.Accepted, result.Outcome)
+	require.Equal(t, 3, execute("contract", "apply", path, "--revision=0", at).code)
+
+	shown := execute("contract", "get", "sencnik", "--json", at)
+	require.Equal(t, 0, shown.code)
+	contract, err := policy.ParseContract([]byte(shown.out))
+	require.NoError(t, err)
+	require.Equal(t, result.ChangeID, contract.ChangeID)
+	edited := write(t, shown.out)
+	require.Equal(t, 0, execute("contract", "apply", edited, at).code)
+	again := execute("contract", "apply", edited, at)
+	require.Equal(t, 3, again.code)
+	require.Contains(t, again.problems, "the document was made from change "+result.ChangeID)
+
+	require.Contains(t, execute("contract", "history", "sencnik", at).out, result.ChangeID)
+	require.Contains(t, execute("contract", "list", at).out, "sencnik")
+	require.Contains(t, execute("contract", "get", "sencnik", at).out, "queueTimeout      2s")
+}
+
+func TestContractFaultsHaveTheirExitCodes(t *testing.T) {
+	faulty := execute("contract", "validate", write(t, `{"customer":"a b","groups":[],"conections":5}`))
+	require.Equal(t, 2, faulty.code)
+	for _, part := range []string{"customer is", "groups is", "conections is 5", "connections is missing"} {
+		require.Contains(t, faulty.problems, part)
+	}
+	require.Equal(t, 0, execute("contract", "validate", write(t, contractText)).code)
+	require.Equal(t, 2, execute("contract", "validate", "no-such-file").code)
+	require.Equal(t, 2, execute("contract", "apply", write(t, contractText)).code, "no platform")
+	require.Equal(t, 2, execute("explain", "xyz", "--instance=127.0.0.1:1").code)
+
+	silent := fleet.Instance{ID: "i1", HTTPAddress: "127.0.0.1:1", State: fleet.Live}
+	platform := newPlatform(t, silent)
+	pending := execute("contract", "apply", write(t, contractText), "--timeout=300ms", "--platform="+platform.URL())
+	require.Equal(t, 4, pending.code)
+	require.Contains(t, pending.out, "waiting for: i1")
+	platform.SetFaults(fakekv.Faults{Down: true})
+	notRun := execute("contract", "apply", write(t, contractText), "--timeout=300ms", "--platform="+platform.URL())
+	require.Equal(t, 1, notRun.code)
+	require.Contains(t, notRun.problems, "not run")
+}
+
+// serveJSON answers one path of an instance's HTTP listener.
+func serveJSON(t *testing.T, path string, value any) fleet.Instance {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != path {
+			http.NotFound(w, r)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(value)
+	}))
+	t.Cleanup(server.Close)
+	return fleet.Instance{ID: "i1", HTTPAddress: server.Listener.Addr().String(), State: fleet.Live}
+}
+
+func TestExplainMergesTrailsInOrder(t *testing.T) {
+	start := time.Date(2026, 7, 1, 8, 0, 0, 0, time.UTC)
+	first := serveJSON(t, "/debug/requests/abc", trace.Trail{
+		RequestID: 0xabc, Instance: "i1", Customer: "sencnik", Database: "lj",
+		Events: []trace.Event{{At: start, What: trace.Received}, {At: start.Add(9 * time.Millisecond), What: trace.Done}},
+	})
+	second := serveJSON(t, "/debug/requests/abc", trace.Trail{
+		RequestID: 0xabc, Instance: "i2", Customer: "sencnik", Database: "lj",
+		Events: []trace.Event{{At: start.Add(2 * time.Millisecond), What: trace.Sent, Target: "lj-a", Term: 3}},
+	})
+	told := execute("explain", "abc", "--instance="+second.HTTPAddress, "--instance="+first.HTTPAddress)
+	require.Equal(t, 0, told.code, told.problems)
+	require.Regexp(t, `(?s)9ms from first to last.*received from the caller.*i2 +sent to the target, target lj-a, term 3.*in full`, told.out)
+	require.Equal(t, 1, execute("explain", "def", "--platform="+newPlatform(t, first).URL()).code)
+}
+
+func TestStatusShowsOwnersAndLags(t *testing.T) {
+	// The instance answers with the documented fields, as an instance of another version would.
+	state := json.RawMessage(`{"instance":"i1","ready":true,"membershipRevision":4,"knownDatabases":["lj","ce"],
+		"databases":[{"database":"lj","epoch":7,"phase":"serving","primary":"lj-a","term":3,"position":100,
+		"members":[{"target":"lj-a","role":"primary","up":true,"applied":100,"ageMs":0},
+		{"target":"lj-b","role":"replica","up":true,"applied":90,"ageMs":-1},{"target":"lj-c","applied":1}]}]}`)
+	platform := newPlatform(t, serveJSON(t, "/debug/state", state), fleet.Instance{ID: "i2", HTTPAddress: "127.0.0.1:1"})
+	shown := execute("status", "--platform="+platform.URL())
+	require.Equal(t, 0, shown.code, shown.problems)
+	require.Regexp(t, `lj +i1 +7 +serving +lj-a +primary +3 +0 +0ms`, shown.out)
+	require.Regexp(t, `lj-b +replica +3 +10 +unknown`, shown.out)
+	require.Regexp(t, `lj-c +down`, shown.out)
+	require.Contains(t, shown.out, "database ce has no owner")
+	require.Regexp(t, `i2 .*asking instance i2`, shown.out)
+}
