--- a/io/check/process.go
+++ b/io/check/process.go
@@ -4,6 +4,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -17,6 +18,8 @@
 	exitTimeout = 10 * time.Second
 	// tailLines is how many lines of a log a failed test prints.
 	tailLines = 25
+	// reportLines is how many lines of the report of a race or panic a failed test prints.
+	reportLines = 45
 )
 
 // Process is one process of the program, which a test may stop and start again.
@@ -38,6 +41,9 @@
 	p.Start()
 	tb.Cleanup(func() {
 		p.Kill()
+		if trouble := p.trouble(); trouble != "" {
+			tb.Errorf("%s reported:\n%s", p.name, trouble)
+		}
 		if tb.Failed() {
 			tb.Logf("end of the log of %s:\n%s", p.name, tail(p.logPath, tailLines))
 		}
@@ -111,6 +117,17 @@
 	return string(text)
 }
 
+// trouble returns the report of the first data race or panic that the log holds, or an empty text.
+func (p *Process) trouble() string {
+	text := p.Log()
+	for _, sign := range []string{"WARNING: DATA RACE", "panic: ", "fatal error: "} {
+		if at := strings.Index(text, sign); at >= 0 {
+			return head(text[at:], reportLines)
+		}
+	}
+	return ""
+}
+
 func (p *Process) signal(signal syscall.Signal) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/io/check/tail.go
+++ b/io/check/tail.go
@@ -14,3 +14,9 @@
 	lines := strings.Split(strings.TrimRight(string(text), "\n"), "\n")
 	return strings.Join(lines[max(0, len(lines)-count):], "\n")
 }
+
+// head returns the first lines of a text.
+func head(text string, count int) string {
+	lines := strings.SplitN(text, "\n", count+1)
+	return strings.Join(lines[:min(count, len(lines))], "\n")
+}
