--- a/core/accept/state.go
+++ b/core/accept/state.go
@@ -1,6 +1,10 @@
 package accept
 
-import "turmericpulley/core/types"
+import (
+	"slices"
+
+	"turmericpulley/core/types"
+)
 
 // State lists the instances of a region by what they are known to do with a change.
 type State struct {
@@ -18,3 +22,6 @@
 
 // Accepted reports whether no instance takes new work by an older contract.
 func (s State) Accepted() bool { return s.Settled && len(s.Waiting) == 0 }
+
+// Unconfirmed returns the live instances that are not known to have the change in force.
+func (s State) Unconfirmed() []types.InstanceID { return slices.Concat(s.Waiting, s.Isolated) }
--- a/io/admin/change.go
+++ b/io/admin/change.go
@@ -77,7 +77,7 @@
 func (c *Client) readContract(ctx context.Context, customer types.CustomerID) (Version, bool, error) {
 	for {
 		version, found, err := c.Contract(ctx, customer)
-		if err == nil || !pause(ctx) {
+		if err == nil || !pause(ctx, pollInterval) {
 			return version, found, err
 		}
 	}
@@ -105,8 +105,8 @@
 }
 
 // pause waits before another attempt and reports whether there is time for one.
-func pause(ctx context.Context) bool {
-	timer := time.NewTimer(pollInterval)
+func pause(ctx context.Context, interval time.Duration) bool {
+	timer := time.NewTimer(interval)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/io/admin/settings.go
+++ b/io/admin/settings.go
@@ -13,8 +13,10 @@
 	askTimeout = 1500 * time.Millisecond
 	// storeTimeout bounds one call to the platform, so that a lost answer leaves time to read back.
 	storeTimeout = time.Second
-	// pollInterval is the pause between two rounds of questions.
+	// pollInterval is the first pause between two attempts; it doubles between rounds of questions.
 	pollInterval = 100 * time.Millisecond
+	// maxPollInterval is the longest pause between two rounds of questions.
+	maxPollInterval = 400 * time.Millisecond
 	// maxAnswerBytes bounds the answer of an instance.
 	maxAnswerBytes = 32 << 20
 	// maxQuestions is the number of instances that are asked at once.
--- a/io/admin/submit.go
+++ b/io/admin/submit.go
@@ -46,7 +46,7 @@
 				return result
 			}
 		}
-		if !pause(ctx) {
+		if !pause(ctx, pollInterval) {
 			return gaveUp(one, doubt, err)
 		}
 	}
