--- /dev/null
+++ b/io/server/contract_test.go
@@ -0,0 +1,106 @@
+package server_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/stretchr/testify/require"
+
+	"turmericpulley/core/policy"
+	"turmericpulley/core/types"
+	"turmericpulley/io/fakedb"
+)
+
+// inForceLimit is how soon an accepted contract governs everywhere.
+const inForceLimit = 3 * time.Second
+
+// put stores a contract as an operator's command does.
+func (f *fleet) put(t *testing.T, c policy.Contract) {
+	t.Helper()
+	url := f.platform.URL() + "/v1/kv/contracts/" + string(c.Customer)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPut, url, bytes.NewBufferString(encode(t, c)))
+	require.NoError(t, err)
+	answer, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	require.NoError(t, answer.Body.Close())
+	require.Equal(t, http.StatusOK, answer.StatusCode)
+}
+
+// TestRevokedGroupIsRefusedEverywhere takes a group from a contract while connections are open at every instance.
+func TestRevokedGroupIsRefusedEverywhere(t *testing.T) {
+	f := startFleet(t, 4, nil)
+	conns := make([]*pgx.Conn, 0, len(f.servers))
+	for i := range f.servers {
+		conns = append(conns, f.connect(t, i, "desk-1"))
+	}
+	f.waitForOwner(t)
+	_, err := conns[0].Exec(t.Context(), "INSERT INTO orders (key, value) VALUES ('a', 'x')")
+	require.NoError(t, err)
+	f.put(t, policy.Contract{Customer: testCustomer, Groups: []types.GroupID{"other-db"}, Connections: 6})
+	stored := time.Now()
+	for i, c := range conns {
+		require.Eventually(t, func() bool {
+			var value string
+			err := c.QueryRow(t.Context(), "SELECT value FROM orders WHERE key = 'a'").Scan(&value)
+			var refused *pgconn.PgError
+			return errors.As(err, &refused) && refused.Code == "28000"
+		}, inForceLimit, 5*time.Millisecond, "instance %d", i)
+	}
+	t.Logf("refused everywhere %v after the change was stored", time.Since(stored))
+	require.Less(t, time.Since(stored), inForceLimit)
+}
+
+// TestReadsAreNotOlderThanTheContract reads another session's counter under lag: no answer is older than the contract
+// allows, whichever member gives it.
+func TestReadsAreNotOlderThanTheContract(t *testing.T) {
+	const maxAge = 600 * time.Millisecond
+	f := startFleet(t, 2, func(s *fakedb.Settings) { s.ApplyLag = 400 * time.Millisecond })
+	f.put(t, policy.Contract{
+		Customer: testCustomer, Groups: []types.GroupID{"orders-db"}, Connections: 6, MaxReadAge: policy.Duration(maxAge),
+	})
+	writer, reader := f.connect(t, 0, "desk-1"), f.connect(t, 1, "floor-1")
+	f.waitForOwner(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	upsert := "INSERT INTO clock (key, value) VALUES ('now', $1) ON CONFLICT (key) DO UPDATE SET value = EXCLUDED.value"
+	start := time.Now()
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		for time.Since(start) < 6*time.Second {
+			at := strconv.FormatInt(time.Since(start).Milliseconds(), 10)
+			if _, err := writer.Exec(ctx, upsert, at); err != nil {
+				return
+			}
+		}
+	}()
+	time.Sleep(time.Second)
+	lagBefore := f.owner(t).Report().ReplicaReads
+	var worst time.Duration
+	for i := range 400 {
+		if i == 200 {
+			for _, m := range f.members {
+				m.SetApplyLag(2 * time.Second)
+			}
+		}
+		var text string
+		began := time.Since(start)
+		require.NoError(t, reader.QueryRow(ctx, "SELECT value FROM clock WHERE key = 'now'").Scan(&text))
+		at, err := strconv.Atoi(text)
+		require.NoError(t, err)
+		worst = max(worst, began-time.Duration(at)*time.Millisecond)
+		time.Sleep(10 * time.Millisecond)
+	}
+	<-written
+	t.Logf("oldest answer %v, replica reads %d", worst, f.owner(t).Report().ReplicaReads-lagBefore)
+	require.Positive(t, f.owner(t).Report().ReplicaReads-lagBefore, "no replica was used")
+	// The writer's own pause between two writes adds to the age of what it last wrote.
+	require.Less(t, worst, maxAge+100*time.Millisecond)
+}
--- /dev/null
+++ b/io/server/isolation_test.go
@@ -0,0 +1,90 @@
+package server_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/stretchr/testify/require"
+)
+
+// TestNothingIsLeftOnSharedConnections lets one session leave settings, temporary tables, locks, prepared statements and
+// open transactions behind; the next session on the same connection meets none of them.
+func TestNothingIsLeftOnSharedConnections(t *testing.T) {
+	f := startFleet(t, 1, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	first := f.connect(t, 0, "desk-1")
+	second := f.connect(t, 0, "desk-2")
+	exec := func(c *pgx.Conn, sql string) {
+		t.Helper()
+		_, err := c.Exec(ctx, sql, pgx.QueryExecModeSimpleProtocol)
+		require.NoError(t, err, sql)
+	}
+	onPrimary := func(c *pgx.Conn, sql string) (text string, err error) {
+		exec(c, "BEGIN")
+		defer exec(c, "ROLLBACK")
+		err = c.QueryRow(ctx, sql, pgx.QueryExecModeSimpleProtocol).Scan(&text)
+		return text, err
+	}
+	exec(first, "BEGIN; SET work_mem = '1GB'; CREATE TEMP TABLE scratch (key text, value text); SELECT pg_advisory_lock(7); COMMIT")
+	exec(first, "BEGIN; PREPARE leftover AS SELECT 1; COMMIT")
+	value, err := onPrimary(second, "SHOW work_mem")
+	if err == nil {
+		require.NotEqual(t, "1GB", value, "a setting was left behind")
+	}
+	exec(second, "BEGIN; SELECT pg_advisory_lock(7); COMMIT")
+	_, err = onPrimary(second, "EXECUTE leftover")
+	require.Error(t, err, "a prepared statement was left behind")
+
+	exec(first, "BEGIN")
+	exec(first, "INSERT INTO orders (key, value) VALUES ('open', 'x')")
+	require.NoError(t, first.Close(ctx))
+	var found string
+	err = second.QueryRow(ctx, "SELECT value FROM orders WHERE key = 'open'").Scan(&found)
+	require.ErrorIs(t, err, pgx.ErrNoRows, "an open transaction of a caller that left was committed")
+	exec(second, "INSERT INTO orders (key, value) VALUES ('open', 'second')")
+}
+
+// TestInstanceKilledInsideTransactions kills an instance while transaction blocks are open on its members' connections:
+// nothing of them is seen, and their rows are free again.
+func TestInstanceKilledInsideTransactions(t *testing.T) {
+	f := startFleet(t, 3, nil)
+	f.connect(t, 0, "probe")
+	f.waitForOwner(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	owner := f.owner(t)
+	for i := range 4 {
+		c := f.connect(t, i%3, fmt.Sprintf("desk-%d", i))
+		_, err := c.Exec(ctx, "BEGIN")
+		require.NoError(t, err)
+		_, err = c.Exec(ctx, fmt.Sprintf("INSERT INTO orders (key, value) VALUES ('open%d', 'x')", i))
+		require.NoError(t, err)
+	}
+	owner.Close()
+	survivor := 0
+	for i, s := range f.servers {
+		if s != owner {
+			survivor = i
+		}
+	}
+	c := f.connect(t, survivor, "desk-9")
+	for i := range 4 {
+		require.EventuallyWithT(t, func(collect *assertT) {
+			_, err := c.Exec(ctx, fmt.Sprintf("INSERT INTO orders (key, value) VALUES ('open%d', 'mine')", i))
+			var refused *pgconn.PgError
+			if errors.As(err, &refused) && refused.Code == "08007" {
+				return
+			}
+			require.NoError(collect, err)
+		}, 5*time.Second, 50*time.Millisecond)
+	}
+	var value string
+	require.NoError(t, c.QueryRow(ctx, "SELECT value FROM orders WHERE key = 'open0'").Scan(&value))
+	require.Equal(t, "mine", value)
+}
