fix: late checks before and after a transaction's wait

Causes, found by reading: a write queued for a replica ran there after the replica was promoted, without waiting for a majority; contract, freshness and read age were checked before the wait for a connection only; a batch that commits and opens the next block was answered before a majority held it, as was the answer to a repeated key; a retry after 25006 ignored that an earlier command had completed; any 57P03 counted as a newer owner; a cancel could reach the connection's next transaction; a keyed batch that opens a block committed it at once; a restarted member stand-in forgot that an owner had polled it, so a new owner did not wait. Changes: connections to replicas refuse writes by themselves; checks are repeated after the wait; confirmations before those answers; a connection that was cancelled is thrown away; the record of a key starts as committed block.

--- a/core/fault/describe.go
+++ b/core/fault/describe.go
@@ -41,6 +41,7 @@
 	Stopping:          {NotRun, stateNotNow, "connect to another instance; this one is stopping"},
 	OutcomeUnknown:    {Unknown, stateUnknownResolution, "read the data, or repeat with the same request key, before sending it again"},
 	AlreadyRun:        {Failed, stateUniqueViolation, "do not send it again; the request with this key has run"},
+	KeyBusy:           {NotRun, stateNotNow, "send the request again with the same key; another run of it has not ended yet"},
 	LeaseLost:         {NotRun, stateNotNow, "send the read again; the owner of the database changed"},
 	ProtocolViolation: {NotRun, stateProtocolViolation, "send well-formed messages within the size limit"},
 	StatementTimeout:  {Unknown, stateQueryCanceled, "send smaller requests, or raise statementTimeout in the contract"},
--- a/core/fault/kind.go
+++ b/core/fault/kind.go
@@ -30,6 +30,8 @@
 	OutcomeUnknown Kind = "outcomeUnknown"
 	// AlreadyRun reports a request key whose request ran before.
 	AlreadyRun Kind = "alreadyRun"
+	// KeyBusy reports a request key that another run of the request holds.
+	KeyBusy Kind = "keyBusy"
 	// LeaseLost reports an owner whose lease lapsed before the answer was confirmed.
 	LeaseLost Kind = "leaseLost"
 	// ProtocolViolation reports a malformed or oversized message.
--- a/io/fakedb/member.go
+++ b/io/fakedb/member.go
@@ -114,6 +114,7 @@
 		m.log = found.log
 		m.applied = found.log.last()
 		m.tables = rebuild(found.log.entries)
+		m.ownerCalls.restarted(time.Now())
 		return nil
 	}
 	m.role = m.settings.Role
--- a/io/fakedb/ownercalls.go
+++ b/io/fakedb/ownercalls.go
@@ -29,6 +29,9 @@
 	}
 }
 
+// restarted counts a restart as a call, because calls before it are forgotten.
+func (o *ownerCalls) restarted(now time.Time) { o.older = now }
+
 // sinceOlder returns the age of the last call of an epoch below the highest.
 func (o *ownerCalls) sinceOlder(highest types.Epoch) time.Duration {
 	o.raise(highest)
--- a/io/owner/answer.go
+++ b/io/owner/answer.go
@@ -22,6 +22,10 @@
 	sqlState string
 	// completed tells that a command has completed, so that what follows waits for its confirmation.
 	completed bool
+	// committed tells that a command ended a transaction block.
+	committed bool
+	// opened tells that a command opened a transaction block.
+	opened bool
 	// tag is the tag of the last command that completed.
 	tag string
 }
@@ -36,6 +40,8 @@
 	case pgcli.TypeCommandComplete, pgcli.TypeEmptyQuery:
 		a.completed = true
 		a.tag = string(bytes.TrimRight(m.Body(), "\x00"))
+		a.committed = a.committed || a.tag == tagCommit
+		a.opened = a.opened || a.tag == tagBegin || a.tag == tagStart
 	case pgcli.TypeReadyForQuery:
 		a.status = m.Body()[0]
 	}
--- a/io/owner/block.go
+++ b/io/owner/block.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"turmericpulley/core/fault"
+	"turmericpulley/core/quorum"
 	"turmericpulley/io/pgcli"
 )
 
@@ -18,7 +19,11 @@
 	for {
 		if !t.owner.state.leaseHolds() {
 			g.release(false)
-			return errBlockLost()
+			return t.lostBlock(a)
+		}
+		if err := t.confirmInBlock(streamContext, g, a); err != nil {
+			g.release(false)
+			return err
 		}
 		if err := t.relay(a.take()); err != nil {
 			g.release(false)
@@ -69,6 +74,29 @@
 	return true, err
 }
 
+// lostBlock reports a block that cannot go on; what an earlier command of its last batch committed stays unconfirmed.
+func (t *transaction) lostBlock(a *answer) error {
+	if a.committed {
+		return fault.New(fault.OutcomeUnknown, "the owner could not confirm that it still owns the database")
+	}
+	return errBlockLost()
+}
+
+// confirmInBlock waits for the confirmation of what a batch committed before it opened the next block. The member reports
+// no position inside a block, so the position of the primary after the answer is awaited.
+func (t *transaction) confirmInBlock(ctx context.Context, g grant, a *answer) error {
+	if !a.committed || g.readOnly {
+		return nil
+	}
+	ctx, cancel := t.batchContext(ctx)
+	defer cancel()
+	observed, err := t.owner.callMember(ctx, g.target, func(c *control) (quorum.Observation, error) { return c.status() })
+	if err != nil || observed.Term != g.term {
+		return fault.New(fault.OutcomeUnknown, "the primary did not confirm the transaction before the open one")
+	}
+	return t.awaitPosition(ctx, g.term, observed.Position)
+}
+
 // errBlockLost reports a block whose connection ended between two batches, which rolls the block back.
 func errBlockLost() *fault.Fault {
 	return fault.New(fault.NoPrimary, "the primary was replaced and the transaction block was rolled back")
--- a/io/owner/conductor.go
+++ b/io/owner/conductor.go
@@ -82,7 +82,7 @@
 		c.owner.adopt(primary, nil)
 		return
 	}
-	if primary.Leaving && len(up) > c.owner.state.majority-1 {
+	if primary.Leaving && hasSuccessor(up, primary) {
 		c.switchingSince = now
 		c.owner.state.setPhase(switching)
 		return
@@ -90,6 +90,16 @@
 	c.checkCut(ctx, now, primary, up)
 }
 
+// hasSuccessor reports whether a member that is not leaving could take over from the primary.
+func hasSuccessor(up []quorum.Observation, primary quorum.Observation) bool {
+	for _, o := range up {
+		if o.Target != primary.Target && !o.Leaving && o.Term == primary.Term {
+			return true
+		}
+	}
+	return false
+}
+
 // checkCut replaces a primary that a majority of members no longer hears although the owner does.
 func (c *conductor) checkCut(ctx context.Context, now time.Time, primary quorum.Observation, up []quorum.Observation) {
 	deaf := 0
--- a/io/owner/exchange.go
+++ b/io/owner/exchange.go
@@ -11,12 +11,14 @@
 
 // exchange sends a batch, preceded by the session's settings, and lets read take in the answer. The connection's deadline
 // follows the context; when the context ends first the target is asked to stop the statement.
-func (t *transaction) exchange(ctx context.Context, m policy.Member, c *pooled, payload []byte, read func() error) error {
-	prefix, statements := t.prefix(c)
+func (t *transaction) exchange(
+	ctx context.Context, m policy.Member, c *pooled, readOnly bool, payload []byte, read func() error,
+) error {
+	prefix, statements := t.prefix(c, readOnly)
 	if len(prefix) > 0 {
 		payload = append(prefix, payload...)
 	}
-	t.running.Store(c.Conn)
+	t.setRunning(c)
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	watch := t.owner.watchSilence(m, c)
 	err := c.Send(payload)
@@ -27,7 +29,7 @@
 		err = read()
 	}
 	watch.end()
-	t.running.Store(nil)
+	t.setRunning(nil)
 	if stop() {
 		return err
 	}
--- a/io/owner/keyed.go
+++ b/io/owner/keyed.go
@@ -13,6 +13,7 @@
 	stateUniqueViolation = "23505"
 
 	tagBegin  = "BEGIN"
+	tagStart  = "START TRANSACTION"
 	tagCommit = "COMMIT"
 )
 
@@ -47,18 +48,14 @@
 	if a.status != pgcli.StatusInTransaction || a.failed {
 		return t.rollBackKeyed(ctx, g, &a)
 	}
-	if a.tag == tagBegin {
-		return t.keyedBlock(ctx, g, key, &a)
+	if a.opened {
+		return t.keyedBlock(ctx, g, &a)
 	}
 	return t.commitKeyed(ctx, g, key, &a)
 }
 
 // keyedBlock goes on with a transaction block of the caller's, which commits the record with its own work.
-func (t *transaction) keyedBlock(ctx context.Context, g grant, key string, a *answer) error {
-	if err := t.statement(ctx, g, updateRecord(key, tagCommit)); err != nil {
-		g.release(false)
-		return t.primaryFailed(ctx, err)
-	}
+func (t *transaction) keyedBlock(ctx context.Context, g grant, a *answer) error {
 	return t.continueBlock(ctx, g, false, a)
 }
 
@@ -69,7 +66,7 @@
 	} else {
 		g.release(true)
 	}
-	return fault.New(fault.QueueTimeout, "the request key could not be recorded: "+cause.Error())
+	return fault.New(fault.KeyBusy, "the request key could not be recorded: "+cause.Error())
 }
 
 func updateRecord(key, tag string) string {
@@ -79,7 +76,7 @@
 // openKeyed opens a transaction and inserts the record; repeated tells that it exists.
 func (t *transaction) openKeyed(ctx context.Context, g grant, key string) (repeated bool, err error) {
 	var a answer
-	sql := "BEGIN; INSERT INTO pulley_requests (key, value) VALUES (" + key + ", '')"
+	sql := "BEGIN; INSERT INTO pulley_requests (key, value) VALUES (" + key + ", " + quote(tagCommit) + ")"
 	if err := t.primaryBatch(ctx, g, pgcli.EncodeQuery(nil, sql), true, &a); err != nil {
 		return false, err
 	}
@@ -135,7 +132,9 @@
 	}
 	t.owner.settings.Counters.Repeats.Add(1)
 	if row["value"] == tagCommit {
-		g.release(true)
+		if err := t.await(ctx, g); err != nil {
+			return err
+		}
 		return fault.New(fault.AlreadyRun, "the transaction block with this request key was committed before")
 	}
 	t.note(trace.Event{What: trace.Answered, Target: g.target, Term: g.term, Detail: "from the record of the request key"})
--- a/io/owner/monitor.go
+++ b/io/owner/monitor.go
@@ -22,8 +22,10 @@
 	for ctx.Err() == nil {
 		watched, err := o.watchOnce(ctx, m, &claimedBefore)
 		if o.refusedForEpoch(err) {
-			o.state.lose(o.newerEpoch(ctx, m))
-			return
+			if newer := o.newerEpoch(ctx, m); newer > o.settings.Epoch {
+				o.state.lose(newer)
+				return
+			}
 		}
 		if watched {
 			failures = 0
@@ -42,7 +44,7 @@
 	}
 }
 
-// watchOnce connects, claims and watches until something fails; watched tells that at least the claim succeeded.
+// watchOnce connects, claims and watches until something fails; watched tells that at least one watch succeeded.
 func (o *Owner) watchOnce(ctx context.Context, m *member, claimedBefore *bool) (watched bool, err error) {
 	c, err := dialControl(ctx, o.settings, m.info)
 	if err != nil {
@@ -63,16 +65,16 @@
 		if observed.Target != m.info.Target {
 			return false, errWrongMember(m.info, observed.Target)
 		}
-		if o.settings.Leaving != nil && o.settings.Leaving(m.info.Target) {
-			observed.Leaving = true
-		}
+		observed.Leaving = observed.Leaving || o.listedAsLeaving(m.info.Target)
+		o.settings.Counters.Discarded.Add(o.state.newlyDiscarded(observed))
 		if !o.state.observe(observed) {
 			return true, nil
 		}
 		o.settings.Counters.MonitorCalls.Add(1)
 		if observed, err = c.watch(watchAfter(observed)); err != nil {
-			return true, err
+			return watched, err
 		}
+		watched = true
 	}
 }
 
@@ -83,7 +85,7 @@
 	return o.Applied
 }
 
-// refusedForEpoch reports whether a member answered that a newer owner has claimed it.
+// refusedForEpoch reports whether a member refused in a way that a newer owner, but also a restart, may cause.
 func (o *Owner) refusedForEpoch(err error) bool {
 	state := pgcli.SQLState(err)
 	return state == stateObjectNotInState || state == stateCannotConnectNow
--- a/io/owner/pool.go
+++ b/io/owner/pool.go
@@ -63,7 +63,7 @@
 	p.mu.Lock()
 	customer := p.open[c]
 	delete(p.open, c)
-	keep := clean && !p.closed && !c.Pending()
+	keep := clean && !c.poisoned && !p.closed && !c.Pending()
 	if keep {
 		p.idle = append(p.idle, c)
 	}
--- a/io/owner/pooled.go
+++ b/io/owner/pooled.go
@@ -11,5 +11,9 @@
 	// session is the one whose settings the connection still carries.
 	session  reads.Session
 	settings string
+	// readOnly tells that the target refuses writes on the connection whatever its role becomes.
+	readOnly bool
 	used     bool
+	// poisoned tells that a cancel request was sent, which the target may carry out late.
+	poisoned bool
 }
--- a/io/owner/prefix.go
+++ b/io/owner/prefix.go
@@ -7,15 +7,17 @@
 )
 
 const (
-	resetStatement  = "DISCARD ALL"
-	customerSetting = "pulley.customer"
+	resetStatement = "DISCARD ALL"
+	// readOnlyStatement keeps a replica's connection from writing when the replica is promoted meanwhile.
+	readOnlyStatement = "SET default_transaction_read_only = on"
+	customerSetting   = "pulley.customer"
 )
 
 // prefix returns the statements that give a connection the session's settings, and how many there are; nothing is
-// needed when the same session used the connection last.
-func (t *transaction) prefix(c *pooled) (payload []byte, statements int) {
+// needed when the same session used the connection last, in the same mode.
+func (t *transaction) prefix(c *pooled, readOnly bool) (payload []byte, statements int) {
 	settings := strings.Join(t.begin.GetSettings(), ";")
-	if c.used && c.session == t.session && c.settings == settings {
+	if c.used && c.session == t.session && c.settings == settings && c.readOnly == readOnly {
 		return nil, 0
 	}
 	if c.used {
@@ -28,9 +30,14 @@
 		payload = pgcli.EncodeQuery(payload, s)
 		statements++
 	}
+	if readOnly {
+		payload = pgcli.EncodeQuery(payload, readOnlyStatement)
+		statements++
+	}
 	c.used = true
 	c.session = t.session
 	c.settings = settings
+	c.readOnly = readOnly
 	return payload, statements
 }
 
--- a/io/owner/primary.go
+++ b/io/owner/primary.go
@@ -21,6 +21,8 @@
 	pool   *pool
 	target types.TargetID
 	term   types.Term
+	// readOnly tells that the target is used as a replica.
+	readOnly bool
 }
 
 func (g grant) release(clean bool) { g.pool.put(g.conn, clean) }
@@ -40,7 +42,7 @@
 			g.release(false)
 			return t.primaryFailed(ctx, err)
 		}
-		if a.refusedWrite && a.status == pgcli.StatusIdle && !t.relayed && !t.begin.GetReadOnly() {
+		if a.refusedWrite && !a.completed && ended && a.status == pgcli.StatusIdle && !t.relayed && !t.begin.GetReadOnly() {
 			g.release(true)
 			t.note(trace.Event{What: trace.Retried, Target: g.target, Term: g.term, Detail: "the primary was replaced and refused"})
 			if !wait(ctx, primaryRetryPause) {
@@ -74,7 +76,7 @@
 		if err == nil {
 			g := grant{conn: c, pool: p, target: target, term: term}
 			if t.owner.state.isServing(target, term) {
-				return g, nil
+				return t.rechecked(g)
 			}
 			g.release(true)
 		}
@@ -84,6 +86,15 @@
 	}
 }
 
+// rechecked returns the grant unless the transaction may no longer run.
+func (t *transaction) rechecked(g grant) (grant, error) {
+	if err := t.recheck(); err != nil {
+		g.release(true)
+		return grant{}, err
+	}
+	return g, nil
+}
+
 func (t *transaction) awaitPrimary(ctx context.Context, until time.Time) (types.TargetID, types.Term, error) {
 	timer := time.NewTimer(time.Until(until))
 	defer timer.Stop()
@@ -109,7 +120,7 @@
 
 // primaryBatch sends one batch and reads the answer; what follows the first completed command is held back.
 func (t *transaction) primaryBatch(ctx context.Context, g grant, payload []byte, ended bool, a *answer) error {
-	return t.exchange(ctx, t.owner.members[g.target].info, g.conn, payload, func() error {
+	return t.exchange(ctx, t.owner.members[g.target].info, g.conn, g.readOnly, payload, func() error {
 		if !ended {
 			go t.feed(ctx, g.conn)
 		}
@@ -152,17 +163,30 @@
 	}
 }
 
-// confirm waits until a majority holds what the answer covers, then answers.
-func (t *transaction) confirm(ctx context.Context, g grant, a *answer) error {
+// await releases the connection and waits until a majority holds what its last answer covers.
+func (t *transaction) await(ctx context.Context, g grant) error {
 	position := g.conn.Position()
 	g.release(true)
-	if err := t.owner.state.awaitCommitted(ctx, g.term, position); err != nil {
+	return t.awaitPosition(ctx, g.term, position)
+}
+
+func (t *transaction) awaitPosition(ctx context.Context, term types.Term, position types.Position) error {
+	if err := t.owner.state.awaitCommitted(ctx, term, position); err != nil {
 		return err
 	}
 	if !t.owner.state.leaseHolds() {
 		return fault.New(fault.OutcomeUnknown, "the owner could not confirm that it still owns the database")
 	}
 	t.owner.floors.Note(t.session, position)
+	return nil
+}
+
+// confirm waits until a majority holds what the answer covers, then answers.
+func (t *transaction) confirm(ctx context.Context, g grant, a *answer) error {
+	position := g.conn.Position()
+	if err := t.await(ctx, g); err != nil {
+		return err
+	}
 	t.note(trace.Event{What: trace.Confirmed, Target: g.target, Term: g.term, Position: position})
 	return t.finish(a.take(), g.target, false, g.term, position)
 }
--- a/io/owner/promote.go
+++ b/io/owner/promote.go
@@ -72,6 +72,7 @@
 				results <- nil
 				return
 			}
+			observed.Leaving = observed.Leaving || o.listedAsLeaving(target)
 			results <- &observed.Status
 		}()
 	}
@@ -84,6 +85,10 @@
 	return fenced
 }
 
+func (o *Owner) listedAsLeaving(target types.TargetID) bool {
+	return o.settings.Leaving != nil && o.settings.Leaving(target)
+}
+
 // followPrimary points a member at the primary.
 func (o *Owner) followPrimary(ctx context.Context, target, primary types.TargetID, term types.Term) {
 	address := o.members[primary].info.Address
@@ -94,10 +99,9 @@
 		o.settings.Logger.Debug("a member does not follow yet", "target", target, "error", err)
 		return
 	}
-	o.settings.Counters.Discarded.Add(int64(observed.Discarded))
 	o.members[target].pool.dropIdle()
 	o.state.observe(observed)
-	o.settings.Logger.Info("member follows", "target", target, "primary", primary, "term", term, "discarded", observed.Discarded)
+	o.settings.Logger.Info("member follows", "target", target, "primary", primary, "term", term)
 }
 
 func (o *Owner) callMember(ctx context.Context, target types.TargetID, call func(*control) (quorum.Observation, error),
--- a/io/owner/replica.go
+++ b/io/owner/replica.go
@@ -58,6 +58,16 @@
 	return best, found
 }
 
+// stillRecent reports whether the replica may still answer after the wait for a connection to it.
+func (t *transaction) stillRecent(chosen replica, floor types.Position) bool {
+	for _, r := range t.owner.state.replicas(time.Now(), t.maxAge()) {
+		if r.target == chosen.target {
+			return r.applied >= floor
+		}
+	}
+	return false
+}
+
 func (t *transaction) tryReplica(ctx context.Context, r replica, floor types.Position, payload []byte) (attempt, error) {
 	t.attempts++
 	m := t.owner.members[r.target]
@@ -69,9 +79,17 @@
 		}
 		return tryAnother, nil
 	}
+	if !t.stillRecent(r, floor) {
+		p.put(c, true)
+		return tryAnother, nil
+	}
+	if err := t.recheck(); err != nil {
+		p.put(c, true)
+		return answered, err
+	}
 	t.note(trace.Event{What: trace.Sent, Target: r.target, Replica: true})
 	var a answer
-	err = t.exchange(ctx, m.info, c, payload, func() error { return t.readReplica(c, &a) })
+	err = t.exchange(ctx, m.info, c, true, payload, func() error { return t.readReplica(c, &a) })
 	switch {
 	case err != nil:
 		p.put(c, false)
@@ -83,7 +101,7 @@
 		return tryPrimary, nil
 	case a.status != pgcli.StatusIdle && t.begin.GetReadOnly():
 		_, term := t.owner.state.primaryAndTerm()
-		return answered, t.continueBlock(ctx, grant{conn: c, pool: p, target: r.target, term: term}, true, &a)
+		return answered, t.continueBlock(ctx, grant{conn: c, pool: p, target: r.target, term: term, readOnly: true}, true, &a)
 	case a.status != pgcli.StatusIdle:
 		p.put(c, false)
 		t.owner.settings.Writes.Learn(t.begin.GetStatementHash())
--- a/io/owner/stateview.go
+++ b/io/owner/stateview.go
@@ -36,6 +36,17 @@
 	return s.highestEpoch
 }
 
+// newlyDiscarded returns how many log entries the member gave up since it was last observed.
+func (s *state) newlyDiscarded(o quorum.Observation) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last, ok := s.observations[o.Target]
+	if !ok || o.Discarded <= last.Discarded {
+		return 0
+	}
+	return int64(o.Discarded - last.Discarded)
+}
+
 // replica describes a member that could answer a read.
 type replica struct {
 	target  types.TargetID
--- a/io/owner/transaction.go
+++ b/io/owner/transaction.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"context"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,7 +14,6 @@
 	"turmericpulley/core/reads"
 	"turmericpulley/core/trace"
 	"turmericpulley/core/types"
-	"turmericpulley/io/pgcli"
 	"turmericpulley/io/wire"
 )
 
@@ -29,22 +28,30 @@
 	session  reads.Session
 	stream   Stream
 	frames   chan *wire.Frame
+	// cancelling guards running, so that a cancel request never reaches a connection that has moved on.
+	cancelling sync.Mutex
 	// running is the connection that a cancel request is meant for.
-	running  atomic.Pointer[pgcli.Conn]
-	limits   admit.Limits
+	running *pooled
+	limits  admit.Limits
+	// recheck returns why the transaction may no longer run, after it has waited.
+	recheck  func() error
 	attempts uint32
 	// relayed is set once part of an answer has left, after which the transaction cannot run elsewhere.
 	relayed bool
 }
 
-// Serve runs one transaction and answers on the stream; the stream stays the caller's to close.
-func (o *Owner) Serve(ctx context.Context, begin *wire.Begin, contract policy.Contract, s Stream) {
+// Serve runs one transaction and answers on the stream; the stream stays the caller's to close. The function recheck is
+// called before the transaction is first sent to a target and returns why it may no longer run.
+func (o *Owner) Serve(
+	ctx context.Context, begin *wire.Begin, contract policy.Contract, recheck func() error, s Stream,
+) {
 	t := &transaction{
 		owner:    o,
 		begin:    begin,
 		contract: contract,
 		session:  reads.Session{Customer: types.CustomerID(begin.GetCustomer()), Name: types.SessionName(begin.GetSession())},
 		stream:   s,
+		recheck:  recheck,
 		frames:   make(chan *wire.Frame, frameRing),
 		limits: admit.Limits{
 			Connections:  contract.Connections,
@@ -90,11 +97,22 @@
 }
 
 func (t *transaction) cancelRunning() {
-	if c := t.running.Load(); c != nil {
-		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-		defer cancel()
-		_ = c.Cancel(ctx)
+	t.cancelling.Lock()
+	defer t.cancelling.Unlock()
+	if t.running == nil {
+		return
 	}
+	t.running.poisoned = true
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	_ = t.running.Cancel(ctx)
+}
+
+// setRunning names the connection that a cancel request is meant for; nil means none.
+func (t *transaction) setRunning(c *pooled) {
+	t.cancelling.Lock()
+	defer t.cancelling.Unlock()
+	t.running = c
 }
 
 // batch collects the caller's frames up to the end of a batch or a flush.
--- a/io/server/owners.go
+++ b/io/server/owners.go
@@ -93,32 +93,54 @@
 		refuse(s, begin, fault.From(err), redirect)
 		return
 	}
-	o.Serve(ctx, begin, contract, s)
+	o.Serve(ctx, begin, contract, func() error { return m.permitted(begin) }, s)
 }
 
-// admit checks a transaction against the documents and returns the owner that runs it.
-func (m *owners) admit(ctx context.Context, begin *wire.Begin) (policy.Contract, *owner.Owner, types.InstanceID, error) {
+// permitted returns why the documents in force do not let the transaction run, or nil.
+func (m *owners) permitted(begin *wire.Begin) error {
+	_, err := m.documents(begin)
+	return err
+}
+
+// governing is what the operators' documents say about a transaction.
+type governing struct {
+	contract policy.Contract
+	group    policy.Group
+	database policy.Database
+}
+
+// documents returns what governs a transaction; the error says why it must not run.
+func (m *owners) documents(begin *wire.Begin) (governing, error) {
 	if err := m.network.Fresh(); err != nil {
-		return policy.Contract{}, nil, "", err
+		return governing{}, err
 	}
 	book := m.network.Book()
 	customer := types.CustomerID(begin.GetCustomer())
 	contract, _, ok := book.Contract(customer)
 	if !ok {
-		return policy.Contract{}, nil, "", fault.New(fault.UnknownCustomer, "customer "+string(customer)+" has no contract")
+		return governing{}, fault.New(fault.UnknownCustomer, "customer "+string(customer)+" has no contract")
 	}
 	group, database, ok := book.Database(types.DatabaseID(begin.GetDatabase()))
 	if !ok {
-		return policy.Contract{}, nil, "", fault.New(fault.UnknownDatabase, "no group holds database "+begin.GetDatabase())
+		return governing{}, fault.New(fault.UnknownDatabase, "no group holds database "+begin.GetDatabase())
 	}
 	if !contract.Reaches(group.Group) {
-		return policy.Contract{}, nil, "", fault.New(fault.GroupForbidden, "the contract does not reach group "+string(group.Group))
+		return governing{}, fault.New(fault.GroupForbidden, "the contract does not reach group "+string(group.Group))
+	}
+	return governing{contract: contract.WithDefaults(), group: group, database: database}, nil
+}
+
+// admit checks a transaction against the documents and returns the owner that runs it.
+func (m *owners) admit(ctx context.Context, begin *wire.Begin) (policy.Contract, *owner.Owner, types.InstanceID, error) {
+	g, err := m.documents(begin)
+	if err != nil {
+		return policy.Contract{}, nil, "", err
 	}
-	o, redirect := m.find(ctx, group, database)
+	o, redirect := m.find(ctx, g.group, g.database)
 	if o == nil {
 		return policy.Contract{}, nil, redirect, fault.New(fault.NoOwner, "instance "+string(m.self)+" does not own the database")
 	}
-	return contract.WithDefaults(), o, "", nil
+	return g.contract, o, "", nil
 }
 
 // find returns the owner of the database, taking it over when this instance should own it.
