--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -48,6 +48,22 @@
 	return g.wait(ctx, q, w, limits.QueueTimeout)
 }
 
+// TryAcquire takes a grant for housekeeping; it fails when any request holds the last one or waits.
+func (g *Gate) TryAcquire() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed || g.inUse >= g.capacity {
+		return false
+	}
+	for _, q := range g.queues {
+		if len(q.waiting) > 0 {
+			return false
+		}
+	}
+	g.inUse++
+	return true
+}
+
 // Release returns a grant.
 func (g *Gate) Release(customer types.CustomerID) {
 	g.mu.Lock()
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -57,6 +57,7 @@
 	c := &conductor{owner: o, lastFollow: map[types.TargetID]time.Time{}}
 	o.duties.Go(func() { c.run(ctx) })
 	o.duties.Go(func() { o.closeWhenLost(ctx) })
+	o.duties.Go(func() { o.sweep(ctx) })
 	return o
 }
 
--- a/io/owner/pool.go
+++ b/io/owner/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -65,6 +66,7 @@
 	delete(p.open, c)
 	keep := clean && !c.poisoned && !p.closed && !c.Pending()
 	if keep {
+		c.idleSince = time.Now()
 		p.idle = append(p.idle, c)
 	}
 	p.mu.Unlock()
--- a/io/owner/pooled.go
+++ b/io/owner/pooled.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"time"
+
 	"turmericpulley/core/reads"
 	"turmericpulley/io/pgcli"
 )
@@ -14,6 +16,8 @@
 	// readOnly tells that the target refuses writes on the connection whatever its role becomes.
 	readOnly bool
 	used     bool
+	// idleSince is when the connection was last returned.
+	idleSince time.Time
 	// poisoned tells that a cancel request was sent, which the target may carry out late.
 	poisoned bool
 }
--- /dev/null
+++ b/io/server/confirm_test.go
@@ -0,0 +1,144 @@
+package server_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/stretchr/testify/require"
+
+	"turmericpulley/io/fakedb"
+)
+
+const stateUnknown = "08007"
+
+func requireState(t *testing.T, err error, state string) {
+	t.Helper()
+	var answered *pgconn.PgError
+	require.True(t, errors.As(err, &answered), "%v", err)
+	require.Equal(t, state, answered.Code, "%v", err)
+}
+
+// neverReplicated keeps every write from reaching a majority.
+func neverReplicated(s *fakedb.Settings) { s.ReceiveLag = time.Hour }
+
+// TestNothingIsAcknowledgedWithoutMajority commits in several ways on a primary whose replicas receive nothing: each
+// answer is that the outcome is unknown.
+func TestNothingIsAcknowledgedWithoutMajority(t *testing.T) {
+	for name, sql := range map[string]string{
+		"autocommit":           "INSERT INTO orders (key, value) VALUES ('k', 'x')",
+		"block":                "BEGIN; INSERT INTO orders (key, value) VALUES ('k', 'x'); COMMIT",
+		"block and next block": "BEGIN; INSERT INTO orders (key, value) VALUES ('k', 'x'); COMMIT; BEGIN",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := startFleet(t, 1, neverReplicated)
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			c := f.connect(t, 0, "desk-1")
+			f.waitForOwner(t)
+			_, err := c.Exec(ctx, sql, pgx.QueryExecModeSimpleProtocol)
+			requireState(t, err, stateUnknown)
+		})
+	}
+}
+
+// TestRepeatIsNotAnsweredBeforeTheFirstRunIsConfirmed repeats a keyed block whose first run no majority holds.
+func TestRepeatIsNotAnsweredBeforeTheFirstRunIsConfirmed(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, 1, neverReplicated)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	f.connect(t, 0, "probe")
+	f.waitForOwner(t)
+	first, second := f.connect(t, 0, "desk-1"), f.connect(t, 0, "desk-1")
+	run := func(c *pgx.Conn) error {
+		for _, sql := range []string{
+			"SET pulley.request_key = 'k1'", "BEGIN", "INSERT INTO orders (key, value) VALUES ('k', 'x')", "COMMIT",
+		} {
+			if _, err := c.Exec(ctx, sql, pgx.QueryExecModeSimpleProtocol); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	answers := make(chan error, 1)
+	go func() { answers <- run(first) }()
+	require.Eventually(t, func() bool { return f.members[0].Rows("orders")["k"] == "x" }, 5*time.Second, 5*time.Millisecond)
+	requireState(t, run(second), stateUnknown)
+	requireState(t, <-answers, stateUnknown)
+}
+
+// TestWritesQueuedForAReplicaDoNotRunOnceItIsPromoted lets writes wait for busy replicas while the primary dies; whichever
+// member then runs them, an answer needs a majority.
+func TestWritesQueuedForAReplicaDoNotRunOnceItIsPromoted(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, 1, func(s *fakedb.Settings) {
+		s.ReceiveLag = 5 * time.Second
+		s.StatementTime = 1200 * time.Millisecond
+		s.Connections = 15
+		s.Slots = 1
+	})
+	f.connect(t, 0, "probe")
+	f.waitForOwner(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	busy := make(chan struct{}, 2)
+	for _, name := range []string{"a", "b"} {
+		c := f.connect(t, 0, name)
+		go func() {
+			_, _ = c.Exec(ctx, "SELECT count(*) FROM orders")
+			busy <- struct{}{}
+		}()
+		time.Sleep(50 * time.Millisecond)
+	}
+	answers := make(chan error, 2)
+	for _, key := range []string{"k1", "k2"} {
+		c := f.connect(t, 0, key)
+		go func() {
+			_, err := c.Exec(ctx, "INSERT INTO orders (key, value) VALUES ('"+key+"', 'x')")
+			answers <- err
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	require.NoError(t, f.members[0].Close())
+	for range 2 {
+		if err := <-answers; err == nil {
+			committed := false
+			for _, m := range f.members[1:] {
+				s := m.Status()
+				committed = committed || (s.Role == fakedb.Primary && s.Committed >= 2)
+			}
+			require.True(t, committed, "a write was acknowledged without a majority")
+		}
+	}
+	<-busy
+	<-busy
+}
+
+// TestLocksAreNotLeftOnIdleConnections takes a session lock on a connection that nobody uses afterwards.
+func TestLocksAreNotLeftOnIdleConnections(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, 1, nil)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	a1, a2, b := f.connect(t, 0, "a"), f.connect(t, 0, "a"), f.connect(t, 0, "b")
+	f.waitForOwner(t)
+	exec := func(c *pgx.Conn, sql string) {
+		t.Helper()
+		_, err := c.Exec(ctx, sql, pgx.QueryExecModeSimpleProtocol)
+		require.NoError(t, err, sql)
+	}
+	exec(a1, "BEGIN")
+	exec(a2, "BEGIN")
+	exec(a1, "SELECT pg_advisory_lock(7)")
+	exec(a1, "COMMIT")
+	exec(a2, "COMMIT")
+	exec(b, "BEGIN")
+	began := time.Now()
+	exec(b, "SELECT pg_advisory_lock(7)")
+	require.Less(t, time.Since(began), time.Second)
+}
