--- a/io/check/measure_overload_test.go
+++ b/io/check/measure_overload_test.go
@@ -78,7 +78,7 @@
 	total, clean, lines := 0.0, true, make([]string, 0, len(customers))
 	for i, result := range results {
 		require.NoError(t, failures[i])
-		goodput := float64(result.AcknowledgedReads+result.AcknowledgedWrites) / (float64(result.Duration) / 1000)
+		goodput := goodputIn(result, overloadSpan)
 		total += goodput
 		clean = clean && result.Clean()
 		lines = append(lines, fmt.Sprintf("%s: demand %.0f/s, goodput %.0f/s, p99 %.0f ms, attempts refused %s",
@@ -88,6 +88,17 @@
 		clean, strings.Join(lines, " | "))
 }
 
+// goodputIn returns the requests acknowledged in each second while requests were starting, without the first second.
+func goodputIn(r load.Result, span time.Duration) float64 {
+	count := 0
+	for _, point := range r.Timeline {
+		if start := time.Duration(float64(point.Start) * float64(time.Millisecond)); start >= time.Second && start < span {
+			count += point.Reads + point.Writes
+		}
+	}
+	return float64(count) / (span - time.Second).Seconds()
+}
+
 // slowest returns the highest 99th percentile of the classes.
 func slowest(r load.Result) float64 {
 	highest := load.Milliseconds(0)
