test: accepted contracts govern what requests meet

With separate processes, the command applies contracts that allow and forbid a group in turn, with the owner paused or cut off, and requests at every instance must be refused from the moment that the command says accepted.

--- /dev/null
+++ b/cmd/governs_test.go
@@ -0,0 +1,147 @@
+package cmd_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/stretchr/testify/require"
+
+	"turmericpulley/core/policy"
+	"turmericpulley/core/types"
+	"turmericpulley/io/check"
+)
+
+// watchTime is how long requests are tried after a change was accepted, longer than old contracts can last.
+const watchTime = 3 * time.Second
+
+// governs applies contracts that allow and forbid the only group in turn, and checks by requests at every instance
+// that no old contract governs once the change is accepted. Trouble begins with each change that forbids the group and
+// ends when that is accepted.
+func governs(t *testing.T, rounds int, begin, end func(f *check.Fleet)) {
+	t.Helper()
+	f := check.NewFleet(t, check.DefaultLayout())
+	allowed := check.NewContract(check.Customer, "orders-db")
+	forbidden := allowed
+	forbidden.Groups = []types.GroupID{"no-such-group"}
+	for range rounds {
+		apply(t, f, allowed)
+		connections := make([]*pgx.Conn, 0, len(f.Instances))
+		for _, instance := range f.Instances {
+			connections = append(connections, connect(t, instance, f.Databases()[0]))
+		}
+		begin(f)
+		apply(t, f, forbidden)
+		end(f)
+		requireRefused(t, f, connections)
+		for _, connection := range connections {
+			_ = connection.Close(context.Background())
+		}
+	}
+}
+
+func apply(t *testing.T, f *check.Fleet, contract policy.Contract) {
+	t.Helper()
+	document, err := json.Marshal(contract)
+	require.NoError(t, err)
+	result := execute("contract", "apply", write(t, string(document)), "--timeout=8s", "--platform=http://"+f.Platform.Direct)
+	require.Equal(t, 0, result.code, result.out+result.problems)
+}
+
+// connect opens a connection that has answered a request.
+func connect(t *testing.T, instance *check.Instance, database types.DatabaseID) *pgx.Conn {
+	t.Helper()
+	var connection *pgx.Conn
+	require.Eventually(t, func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		var err error
+		if connection, err = pgx.Connect(ctx, addressOf(instance, database)); err != nil {
+			return false
+		}
+		_, err = connection.Exec(ctx, "INSERT INTO orders (key, value) VALUES ('k', 'v') ON CONFLICT (key) DO UPDATE SET value = EXCLUDED.value")
+		return err == nil
+	}, 10*time.Second, 50*time.Millisecond)
+	return connection
+}
+
+// requireRefused sends requests at all instances at once, over the open connections and over new ones when those end.
+func requireRefused(t *testing.T, f *check.Fleet, connections []*pgx.Conn) {
+	t.Helper()
+	served := make([]int, len(connections))
+	refused := make([]int, len(connections))
+	deadline := time.Now().Add(watchTime)
+	var group sync.WaitGroup
+	for index := range connections {
+		group.Go(func() {
+			for time.Now().Before(deadline) {
+				if request(&connections[index], f.Instances[index], f.Databases()[0]) == nil {
+					served[index]++
+				} else {
+					refused[index]++
+				}
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+	group.Wait()
+	require.Equal(t, make([]int, len(connections)), served, "requests served by the old contract at each instance")
+	require.NotContains(t, refused, 0)
+}
+
+// request reads a row and opens the connection again when it was closed.
+func request(connection **pgx.Conn, instance *check.Instance, database types.DatabaseID) error {
+	ctx, cancel := context.WithTimeout(context.Background(), watchTime)
+	defer cancel()
+	if (*connection).IsClosed() {
+		renewed, err := pgx.Connect(ctx, addressOf(instance, database))
+		if err != nil {
+			return err
+		}
+		*connection = renewed
+	}
+	_, err := (*connection).Exec(ctx, "SELECT value FROM orders WHERE key = 'k'")
+	return err
+}
+
+func addressOf(instance *check.Instance, database types.DatabaseID) string {
+	return fmt.Sprintf("postgres://%s@%s/%s?sslmode=disable", check.Customer, instance.CallersDirect(), database)
+}
+
+func TestAcceptedContractsGovernAtOnce(t *testing.T) {
+	t.Parallel()
+	nothing := func(*check.Fleet) {}
+	governs(t, 2, nothing, nothing)
+}
+
+func TestAcceptedContractsGovernAtPausedOwners(t *testing.T) {
+	t.Parallel()
+	var owner *check.Instance
+	governs(t, 2,
+		func(f *check.Fleet) {
+			owner = f.Owner(0)
+			owner.Pause()
+		},
+		func(*check.Fleet) { owner.Resume() })
+}
+
+func TestAcceptedContractsGovernAtOwnersCutOff(t *testing.T) {
+	t.Parallel()
+	governs(t, 2,
+		func(f *check.Fleet) {
+			owner := f.Owner(0)
+			owner.CutPeers(f.Instances)
+			owner.Platform.CutBoth()
+		},
+		func(f *check.Fleet) {
+			// Requests come before the cuts are healed, and then again.
+			time.AfterFunc(watchTime/2, func() {
+				f.HealPeers()
+				f.HealPlatform()
+			})
+		})
+}
