--- a/io/load/keyed.go
+++ b/io/load/keyed.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 
 	"turmericpulley/core/audit"
 	"turmericpulley/core/types"
@@ -17,12 +18,14 @@
 	request    request
 	key        types.RequestKey
 	operations []audit.Operation
+	// random draws the ids of transactions.
+	random *rand.Rand
 	// outcome is that of the whole request so far.
 	outcome audit.Outcome
 }
 
 func (c *caller) newKeyed(r request) *keyed {
-	k := &keyed{session: c.session, customer: c.settings.Customer, request: r}
+	k := &keyed{session: c.session, customer: c.settings.Customer, request: r, random: c.random}
 	if c.settings.RequestKeys && r.writes() {
 		k.key = types.RequestKey(fmt.Sprintf("%s-%016x", c.session.run, c.random.Uint64()))
 	}
@@ -67,12 +70,17 @@
 // newOperations returns an operation for each step.
 func (k *keyed) newOperations(a answer, invoked, returned audit.Moment) []audit.Operation {
 	operations := make([]audit.Operation, 0, len(k.request.steps))
+	transaction := audit.TransactionID(0)
+	if k.request.transaction {
+		transaction = audit.TransactionID(k.random.Uint64())
+	}
 	reads := 0
 	for _, s := range k.request.steps {
 		o := audit.Operation{
 			Session: k.session.name, Customer: k.customer, Kind: s.kind, Value: s.value, RequestKey: k.key,
-			Row:     audit.Row{Database: k.session.database, Key: s.key()},
-			Invoked: invoked, Returned: returned, Outcome: a.outcome, SQLState: a.sqlState,
+			Transaction: transaction,
+			Row:         audit.Row{Database: k.session.database, Key: s.key()},
+			Invoked:     invoked, Returned: returned, Outcome: a.outcome, SQLState: a.sqlState,
 		}
 		if s.kind == audit.Read && reads < len(a.values) {
 			o.Value = a.values[reads]
