feat: owners follow changed groups

Cause: an owner kept the slots, connections and members that it was made with. Now it hands the database over to itself when its group changes, and gives it up when the group goes. Seen failing first: TestChangedGroupsAreTakenAnew does not end without it.

--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"turmericpulley/core/admit"
+	"turmericpulley/core/policy"
 	"turmericpulley/core/quorum"
 	"turmericpulley/core/reads"
 	"turmericpulley/core/retry"
@@ -64,6 +66,12 @@
 // Database returns the id of the database.
 func (o *Owner) Database() types.DatabaseID { return o.settings.Database.Database }
 
+// Describes reports whether the owner was made for just this group and database.
+func (o *Owner) Describes(group policy.Group, database policy.Database) bool {
+	return o.settings.Group.Slots == group.Slots && o.settings.Group.Connections == group.Connections &&
+		slices.Equal(o.settings.Database.Members, database.Members)
+}
+
 // Epoch returns the epoch of this ownership.
 func (o *Owner) Epoch() types.Epoch { return o.settings.Epoch }
 
--- a/io/server/contract_test.go
+++ b/io/server/contract_test.go
@@ -132,3 +132,28 @@
 	_, err := c.Exec(t.Context(), "SELECT value FROM orders WHERE key = 'a'")
 	requireState(t, err, "3D000")
 }
+
+// TestChangedGroupsAreTakenAnew lowers a group's connections: the owner follows, and no member ever sees more.
+func TestChangedGroupsAreTakenAnew(t *testing.T) {
+	f := startFleet(t, 2, nil)
+	c := f.connect(t, 0, "desk-1")
+	f.waitForOwner(t)
+	_, err := c.Exec(t.Context(), "INSERT INTO orders (key, value) VALUES ('a', 'x')")
+	require.NoError(t, err)
+	var group policy.Group
+	require.NoError(t, json.Unmarshal([]byte(f.seed["groups/orders-db"]), &group))
+	before := f.owner(t).Counters().Claims.Load()
+	group.Connections = 4
+	f.putValue(t, "groups/orders-db", encode(t, group))
+	require.Eventually(t, func() bool {
+		for _, s := range f.servers {
+			if s.Counters().Claims.Load() > before && len(s.Report().Databases) == 1 {
+				return true
+			}
+		}
+		return false
+	}, inForceLimit, 10*time.Millisecond)
+	var value string
+	require.NoError(t, c.QueryRow(t.Context(), "SELECT value FROM orders WHERE key = 'a'").Scan(&value))
+	require.Equal(t, "x", value)
+}
--- a/io/server/reconcile.go
+++ b/io/server/reconcile.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"turmericpulley/core/policy"
 	"turmericpulley/core/quorum"
 	"turmericpulley/core/types"
 )
@@ -25,26 +26,44 @@
 
 func (m *owners) reconcile(ctx context.Context) {
 	book := m.network.Book()
-	for _, id := range book.Databases() {
+	for _, id := range m.heldDatabases() {
 		group, database, ok := book.Database(id)
-		if !ok {
-			continue
-		}
-		if !m.ownedHere(group) {
+		if !ok || !m.ownedHere(group) || m.changed(id, group, database) {
 			m.duties.Go(func() { m.release(ctx, id) })
-			continue
 		}
-		x := m.entitler.decide(database)
-		h := m.holding(id)
-		switch {
-		case h == nil && x.expected == m.self:
-			m.take(group, database, x)
-		case h != nil && x.expected != m.self && m.outdated(h, x):
-			m.duties.Go(func() { m.release(ctx, id) })
+	}
+	for _, id := range book.Databases() {
+		if group, database, ok := book.Database(id); ok && m.ownedHere(group) {
+			m.reconcileDatabase(ctx, group, database)
 		}
 	}
 }
 
+func (m *owners) reconcileDatabase(ctx context.Context, group policy.Group, database policy.Database) {
+	x := m.entitler.decide(database)
+	h := m.holding(database.Database)
+	switch {
+	case h == nil && x.expected == m.self:
+		m.take(group, database, x)
+	case h != nil && x.expected != m.self && m.outdated(h, x):
+		m.duties.Go(func() { m.release(ctx, database.Database) })
+	}
+}
+
+// changed reports whether a database is held by an older description of it.
+func (m *owners) changed(id types.DatabaseID, group policy.Group, database policy.Database) bool {
+	h := m.holding(id)
+	if h == nil {
+		return false
+	}
+	select {
+	case <-h.ready:
+		return !h.owner.Describes(group, database)
+	default:
+		return false
+	}
+}
+
 // outdated reports whether a database is held under an older membership than the present one.
 func (m *owners) outdated(h *holding, x entitlement) bool {
 	select {
--- a/io/server/release.go
+++ b/io/server/release.go
@@ -103,17 +103,24 @@
 	m.released[database] = until
 }
 
-// releaseAll hands over every database and takes no others.
-func (m *owners) releaseAll(ctx context.Context) {
+// heldDatabases returns the databases that this instance owns or is about to own.
+func (m *owners) heldDatabases() []types.DatabaseID {
 	m.mu.Lock()
-	m.stopping = true
+	defer m.mu.Unlock()
 	databases := make([]types.DatabaseID, 0, len(m.held))
 	for id := range m.held {
 		databases = append(databases, id)
 	}
+	return databases
+}
+
+// releaseAll hands over every database and takes no others.
+func (m *owners) releaseAll(ctx context.Context) {
+	m.mu.Lock()
+	m.stopping = true
 	m.mu.Unlock()
 	var releases sync.WaitGroup
-	for _, id := range databases {
+	for _, id := range m.heldDatabases() {
 		releases.Go(func() { m.release(ctx, id) })
 	}
 	releases.Wait()
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -74,6 +74,9 @@
 // HTTPAddress returns the address for operators.
 func (v *Server) HTTPAddress() string { return v.http.Address() }
 
+// Counters returns what the owners of this instance count.
+func (v *Server) Counters() *owner.Counters { return &v.counters }
+
 func (v *Server) startMeter() error {
 	m, err := meter.New()
 	if err != nil {
