fix: a small part of the instances accepts nothing by itself

When three of five instances lost the store, the other two removed them from the membership and the next change was called accepted, while the three confirmed each other and served requests by the contract before it for as long as the cut lasted (trial with separate processes, members cut from the two as well). Apply now counts the instances that the platform lists as live for the majority, members or not.

--- a/cmd/contractapply.go
+++ b/cmd/contractapply.go
@@ -75,7 +75,7 @@
 	_, _ = fmt.Fprintf(out, "%s: %s, revision %s, change %s\n", result.Customer, result.Outcome, result.Revision, result.ChangeID)
 	printInstances(out, "in force at", result.InForce)
 	printInstances(out, "isolated, taking no work", result.Isolated)
-	printInstances(out, "removed meanwhile", result.Removed)
+	printInstances(out, "outside the membership", result.Removed)
 	printInstances(out, "waiting for", result.Waiting)
 	if result.Detail != "" {
 		_, _ = fmt.Fprintln(problems, result.Detail)
--- a/cmd/governs_test.go
+++ b/cmd/governs_test.go
@@ -16,8 +16,14 @@
 	"turmericpulley/io/check"
 )
 
-// watchTime is how long requests are tried after a change was accepted, longer than old contracts can last.
-const watchTime = 3 * time.Second
+const (
+	// watchTime is how long requests are tried after a change was accepted, longer than old contracts can last.
+	watchTime = 3 * time.Second
+	// readyAgain bounds the wait for a fleet whose faults have ended.
+	readyAgain = 40 * time.Second
+	// pollInterval is the pause between two looks at a fleet.
+	pollInterval = 50 * time.Millisecond
+)
 
 // governs applies contracts that allow and forbid the only group in turn, and checks by requests at every instance
 // that no old contract governs once the change is accepted. Trouble begins with each change that forbids the group and
@@ -65,7 +71,7 @@
 		}
 		_, err = connection.Exec(ctx, "INSERT INTO orders (key, value) VALUES ('k', 'v') ON CONFLICT (key) DO UPDATE SET value = EXCLUDED.value")
 		return err == nil
-	}, 10*time.Second, 50*time.Millisecond)
+	}, readyAgain, pollInterval)
 	return connection
 }
 
--- a/core/accept/progress.go
+++ b/core/accept/progress.go
@@ -24,7 +24,9 @@
 	stored  time.Time
 	members fleet.Membership
 	// seen holds the incarnation of every instance that was a member at some time.
-	seen    map[types.InstanceID]fleet.Incarnation
+	seen map[types.InstanceID]fleet.Incarnation
+	// listed holds the instances that the platform lists as live, members or not.
+	listed  []types.InstanceID
 	inForce map[types.InstanceID]bool
 	heard   map[types.InstanceID]time.Time
 	// majority is when a majority was first known to have the change in force; zero before that.
@@ -54,6 +56,13 @@
 	p.update(now)
 }
 
+// Expect takes the instances that the platform lists as live. Those that are no members count for the majority: a larger
+// part of the region, cut off from the store, may have been removed by a smaller one and still confirm each other.
+func (p *Progress) Expect(listed []types.InstanceID, now time.Time) {
+	p.listed = listed
+	p.update(now)
+}
+
 // Answered records the answer of an instance, which names the instances that have the change in force.
 func (p *Progress) Answered(by types.InstanceID, inForce []types.InstanceID, now time.Time) {
 	p.heard[by] = now
@@ -90,16 +99,28 @@
 			ids = append(ids, id)
 		}
 	}
+	ids = append(ids, p.strangers()...)
 	slices.Sort(ids)
 	return ids
 }
 
+// strangers returns the listed instances that have never been members.
+func (p *Progress) strangers() []types.InstanceID {
+	var ids []types.InstanceID
+	for _, id := range p.listed {
+		if _, known := p.seen[id]; !known {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 func (p *Progress) quietSince(at, now time.Time) bool {
 	return !at.IsZero() && now.Sub(at) >= IsolationBound
 }
 
 func (p *Progress) update(now time.Time) {
-	if 2*len(p.inForce) <= len(p.seen) {
+	if 2*len(p.inForce) <= len(p.seen)+len(p.strangers()) {
 		p.majority = time.Time{}
 		return
 	}
--- a/core/accept/progress_test.go
+++ b/core/accept/progress_test.go
@@ -68,6 +68,15 @@
 	p.Answered("a", []types.InstanceID{"a"}, start)
 	require.Equal(t, []types.InstanceID{"b", "c"}, p.State(start).Removed)
 	require.False(t, p.State(at(time.Hour)).Accepted(), "the removed ones may be a majority of their membership")
+
+	p = accept.New(start)
+	p.Follow(membersOf("a", "b"), start)
+	p.Expect([]types.InstanceID{"a", "b", "c", "d", "e"}, start)
+	p.Answered("a", []types.InstanceID{"a", "b"}, start)
+	require.Equal(t, []types.InstanceID{"c", "d", "e"}, p.State(start).Removed)
+	require.False(t, p.State(at(time.Hour)).Accepted(), "they may have been removed before, by a smaller part")
+	p.Expect([]types.InstanceID{"a", "b", "c"}, at(time.Hour))
+	require.True(t, p.State(at(2*time.Hour)).Accepted())
 }
 
 // Instances without the change may take work while they confirmed their contracts within the freshness bound, by the
--- a/core/accept/state.go
+++ b/core/accept/state.go
@@ -14,7 +14,8 @@
 	Waiting []types.InstanceID
 	// Isolated lists the live instances that have been silent for so long that they have stopped taking work.
 	Isolated []types.InstanceID
-	// Removed lists the instances that left the membership meanwhile without having confirmed it.
+	// Removed lists the instances that left the membership without having confirmed it, and those that the platform lists
+	// although they are no members.
 	Removed []types.InstanceID
 	// Settled is true once instances outside the membership have had time to stop.
 	Settled bool
--- a/io/admin/apply.go
+++ b/io/admin/apply.go
@@ -64,7 +64,12 @@
 	if err != nil {
 		return err
 	}
+	listed, err := c.store.Targets(ctx)
+	if err != nil {
+		return err
+	}
 	spread.follow(regions, time.Now())
+	spread.expect(listed, time.Now())
 	path := "/contracts/" + url.PathEscape(string(result.Customer)) + "/status?revision=" + result.Revision.String()
 	for key := range regions {
 		each(spread.questions(key), func(_ int, instance fleet.Instance) {
--- a/io/admin/apply_test.go
+++ b/io/admin/apply_test.go
@@ -291,3 +291,22 @@
 	result = patient.Apply(context.Background(), contractOf(3), admin.Base{})
 	require.Equal(t, admin.Pending, result.Outcome, "one of three is no majority")
 }
+
+func TestSmallPartsOfTheListedInstancesAcceptNothing(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	platform := newPlatform(t, f.instances[0])
+	listed := make([]fakekv.Target, 0, len(f.instances))
+	for _, i := range f.instances {
+		listed = append(listed, fakekv.Target{
+			ID: string(i.ID), Kind: fakekv.KindInstance, Address: i.HTTPAddress, State: fakekv.StateLive,
+		})
+	}
+	platform.SetTargets(listed)
+	client := newOperator(t, platform.URL(), "o", 4*time.Second)
+	result := client.Apply(context.Background(), contractOf(1), admin.Base{})
+	require.Equal(t, admin.Pending, result.Outcome)
+	require.Equal(t, []types.InstanceID{"i1", "i2"}, result.Removed)
+	platform.SetTargets(listed[:1])
+	require.Equal(t, admin.Accepted, client.Apply(context.Background(), contractOf(1), admin.Base{}).Outcome)
+}
