--- a/io/check/random_test.go
+++ b/io/check/random_test.go
@@ -17,6 +17,8 @@
 	// shortestFault and longestFault bound how long a passing fault lasts.
 	shortestFault = 200 * time.Millisecond
 	longestFault  = 3 * time.Second
+	// longestLag bounds the replicas' delay.
+	longestLag = 600 * time.Millisecond
 	// firstFault and lastFault bound when a fault strikes.
 	firstFault = 500 * time.Millisecond
 	lastFault  = 2500 * time.Millisecond
@@ -96,9 +98,16 @@
 func twoFaults(t *testing.T, seed uint64) {
 	t.Helper()
 	random := rand.New(rand.NewPCG(seed, 0))
-	f := check.NewFleet(t, check.DefaultLayout())
+	layout := check.DefaultLayout()
+	layout.ApplyLag = time.Duration(random.Int64N(int64(longestLag)))
+	f := check.NewFleet(t, layout)
 	settings := f.Load()
 	settings.Seed = seed
+	settings.RequestKeys = random.IntN(2) == 0
+	if random.IntN(2) == 0 {
+		settings.Workload = load.Kiosk
+	}
+	t.Logf("seed %d: %s workload, request keys %t, apply lag %v", seed, settings.Workload, settings.RequestKeys, layout.ApplyLag)
 	faults := randomFaults()
 	random.Shuffle(len(faults), func(i, j int) { faults[i], faults[j] = faults[j], faults[i] })
 	var striking sync.WaitGroup
