--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -71,7 +71,11 @@
 	ctx := context.Background()
 	series := requestSeries{customer: request.Customer, class: request.Class}
 	m.requests.Record(ctx, request.Elapsed.Seconds(), m.option(series))
-	m.queue.Record(ctx, request.Queued.Seconds(), m.option(queueSeries{customer: request.Customer}))
+}
+
+// RecordQueue measures how long a request of the customer waited for a connection.
+func (m *Meter) RecordQueue(customer types.CustomerID, waited time.Duration) {
+	m.queue.Record(context.Background(), waited.Seconds(), m.option(queueSeries{customer: customer}))
 }
 
 // CountRefusal counts a request of the customer that was refused with the kind.
--- a/io/meter/request.go
+++ b/io/meter/request.go
@@ -12,6 +12,4 @@
 	Class    Class
 	// Elapsed is the time from the request's arrival to the last byte of its answer.
 	Elapsed time.Duration
-	// Queued is the part of it spent waiting for a connection.
-	Queued time.Duration
 }
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -51,6 +51,7 @@
 	s.Counters.Claims.Add(1)
 	for _, info := range s.Database.Members {
 		m := &member{info: info, pool: newPool(s.Group.Connections-reservedConnections, dialSettings(s, info), s.Counters)}
+		m.pool.queued = s.Queued
 		o.members[info.Target] = m
 	}
 	for _, m := range o.members {
--- a/io/owner/pool.go
+++ b/io/owner/pool.go
@@ -20,6 +20,8 @@
 	gate     *admit.Gate
 	dial     pgcli.Settings
 	counters *Counters
+	// queued is told how long each request waited; nil tells nobody.
+	queued   func(types.CustomerID, time.Duration)
 	dialling chan struct{}
 
 	mu     sync.Mutex
@@ -40,7 +42,12 @@
 
 // take waits for a grant and returns a connection; nothing has been sent when it fails.
 func (p *pool) take(ctx context.Context, customer types.CustomerID, limits admit.Limits) (*pooled, error) {
-	if err := p.gate.Acquire(ctx, customer, limits); err != nil {
+	began := time.Now()
+	err := p.gate.Acquire(ctx, customer, limits)
+	if p.queued != nil {
+		p.queued(customer, time.Since(began))
+	}
+	if err != nil {
 		return nil, err
 	}
 	c, err := p.connection(ctx)
--- a/io/owner/promote.go
+++ b/io/owner/promote.go
@@ -47,6 +47,9 @@
 		return
 	}
 	o.settings.Counters.Promotions.Add(1)
+	if o.settings.Promoted != nil {
+		o.settings.Promoted(o.state.sincePrimary(time.Now()))
+	}
 	for i := range fenced {
 		if fenced[i].Target == winner {
 			o.adopt(observed, &fenced[i])
--- a/io/owner/settings.go
+++ b/io/owner/settings.go
@@ -25,6 +25,10 @@
 	Resolve  func(address string) string
 	Writes   *class.Writes
 	Counters *Counters
+	// Promoted is told of each promotion and of the time without a primary before it; nil tells nobody.
+	Promoted func(gap time.Duration)
+	// Queued is told how long a customer's transaction waited for a connection; nil tells nobody.
+	Queued func(customer types.CustomerID, waited time.Duration)
 	// Recorder keeps what happened to each request.
 	Recorder *trace.Recorder
 	Logger   hclog.Logger
--- a/io/owner/stateview.go
+++ b/io/owner/stateview.go
@@ -36,6 +36,17 @@
 	return s.highestEpoch
 }
 
+// sincePrimary returns the time since the present or last primary was asked for an answer that it gave.
+func (s *state) sincePrimary(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last, ok := s.observations[s.primary]
+	if !ok {
+		return 0
+	}
+	return now.Sub(last.SentAt)
+}
+
 // newlyDiscarded returns how many log entries the member gave up since it was last observed.
 func (s *state) newlyDiscarded(o quorum.Observation) int64 {
 	s.mu.Lock()
--- a/io/peers/status.go
+++ b/io/peers/status.go
@@ -16,9 +16,9 @@
 // DocumentStatus tells at which live instances a revision of a document governs.
 type DocumentStatus struct {
 	// InForce lists the instances where the revision, or a later one, governs.
-	InForce []types.InstanceID
+	InForce []types.InstanceID `json:"inForce"`
 	// Missing lists the instances where it does not, and those that did not answer.
-	Missing []types.InstanceID
+	Missing []types.InstanceID `json:"missing"`
 }
 
 // DocumentStatus asks all live instances of the region whether the revision of the key governs there.
--- a/io/server/measure.go
+++ b/io/server/measure.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"time"
+
 	"turmericpulley/core/fault"
 	"turmericpulley/io/meter"
 	"turmericpulley/io/pgsrv"
@@ -26,6 +28,12 @@
 	v.meter.RecordRequest(meter.Request{Customer: t.Customer, Class: class, Elapsed: t.Latency})
 }
 
+// promoted counts a promotion and the time without a primary before it.
+func (v *Server) promoted(gap time.Duration) {
+	v.meter.CountPromotion()
+	v.meter.CountFailover(gap)
+}
+
 // registerCounters publishes what the owners of this instance count.
 func (v *Server) registerCounters() error {
 	counts := []struct {
--- a/io/server/owners.go
+++ b/io/server/owners.go
@@ -35,6 +35,8 @@
 	recorder *trace.Recorder
 	resolve  func(string) string
 	leaving  *leaving
+	promoted func(time.Duration)
+	queued   func(types.CustomerID, time.Duration)
 	logger   hclog.Logger
 
 	// running ends when the instance closes.
@@ -58,6 +60,8 @@
 	recorder *trace.Recorder
 	resolve  func(string) string
 	list     func(context.Context) ([]fleet.Listed, error)
+	promoted func(time.Duration)
+	queued   func(types.CustomerID, time.Duration)
 	logger   hclog.Logger
 	changes  <-chan struct{}
 }
@@ -74,6 +78,8 @@
 		recorder: s.recorder,
 		resolve:  s.resolve,
 		leaving:  newLeaving(s.list, s.network),
+		promoted: s.promoted,
+		queued:   s.queued,
 		logger:   s.logger,
 		running:  running,
 		stop:     stop,
@@ -229,6 +235,8 @@
 			Resolve:         m.resolve,
 			Writes:          m.writes,
 			Counters:        m.counters,
+			Promoted:        m.promoted,
+			Queued:          m.queued,
 			Recorder:        m.recorder,
 			Logger:          m.logger,
 		})
--- a/io/server/report.go
+++ b/io/server/report.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"turmericpulley/core/fault"
 	"turmericpulley/core/fleet"
 	"turmericpulley/core/trace"
 	"turmericpulley/core/types"
@@ -95,6 +96,9 @@
 	event := trace.Event{What: trace.Done, Target: t.Target, Replica: t.Replica}
 	if t.Fault != nil {
 		event = trace.Event{What: trace.Refused, Kind: t.Fault.Kind, Detail: t.Fault.Detail}
+		if t.Fault.Outcome == fault.Unknown {
+			event.What = trace.Lost
+		}
 	}
 	v.recorder.Add(t.RequestID, event)
 	v.measure(t)
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -120,6 +120,8 @@
 		recorder: v.recorder,
 		resolve:  v.settings.link,
 		list:     v.store.Targets,
+		promoted: v.promoted,
+		queued:   v.meter.RecordQueue,
 		logger:   v.logger.Named("owner"),
 		changes:  v.peers.Subscribe(),
 	})
