--- a/core/fleet/owner.go
+++ b/core/fleet/owner.go
@@ -7,12 +7,17 @@
 	"turmericpulley/core/types"
 )
 
-// Ranked returns the instances that may own the database, the owner first.
+// Ranked returns the instances that may own the database, the owner first; callers on the path of requests keep the
+// answer for as long as the revision stays.
 func (m Membership) Ranked(database policy.Database) []Instance {
-	live := m.Live()
-	near := slices.DeleteFunc(slices.Clone(live), func(i Instance) bool { return !hasMemberIn(database, i.DataCentre) })
+	near := make([]Instance, 0, len(m.Instances))
+	for _, i := range m.Instances {
+		if i.State == Live && hasMemberIn(database, i.DataCentre) {
+			near = append(near, i)
+		}
+	}
 	if len(near) == 0 {
-		near = live
+		near = m.Live()
 	}
 	return rank(string(database.Database), near)
 }
--- a/core/fleet/score.go
+++ b/core/fleet/score.go
@@ -18,25 +18,25 @@
 	return score(mixed ^ mixed>>31)
 }
 
-// scored pairs an instance with its score.
+// scored pairs the place of an instance with its score.
 type scored struct {
-	instance Instance
-	score    score
+	index int
+	score score
 }
 
 // rank returns the instances from the highest score for the key to the lowest.
 func rank(key string, instances []Instance) []Instance {
 	hash := xxhash.Sum64String(key)
 	order := make([]scored, 0, len(instances))
-	for _, i := range instances {
-		order = append(order, scored{i, scoreOf(hash, i)})
+	for index, i := range instances {
+		order = append(order, scored{index, scoreOf(hash, i)})
 	}
 	slices.SortFunc(order, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.instance.ID, b.instance.ID))
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(instances[a.index].ID, instances[b.index].ID))
 	})
 	ranked := make([]Instance, 0, len(order))
 	for _, s := range order {
-		ranked = append(ranked, s.instance)
+		ranked = append(ranked, instances[s.index])
 	}
 	return ranked
 }
