--- a/io/owner/silence.go
+++ b/io/owner/silence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,14 +21,19 @@
 	owner  *Owner
 	member policy.Member
 	conn   *pooled
-	timer  *time.Timer
-	seen   uint64
 	ended  atomic.Bool
+
+	// mu guards what the timer's goroutine shares with the one that starts the watch.
+	mu    sync.Mutex
+	timer *time.Timer
+	seen  uint64
 }
 
 // watchSilence starts to watch a connection on which a statement was sent.
 func (o *Owner) watchSilence(member policy.Member, c *pooled) *silenceWatch {
 	w := &silenceWatch{owner: o, member: member, conn: c, seen: c.Received()}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(silenceCheckAfter, w.check)
 	return w
 }
@@ -35,31 +41,45 @@
 // end stops the watch.
 func (w *silenceWatch) end() {
 	w.ended.Store(true)
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.timer.Stop()
 }
 
 func (w *silenceWatch) check() {
-	if w.ended.Load() {
-		return
-	}
-	if received := w.conn.Received(); received != w.seen {
-		w.seen = received
-		w.timer.Reset(silenceCheckAfter)
+	if w.ended.Load() || w.progressed() {
 		return
 	}
 	working, err := w.owner.isWorking(w.member, w.conn.PID())
-	if w.ended.Load() {
+	if w.ended.Load() || w.progressed() {
 		return
 	}
 	if err != nil || working {
-		w.timer.Reset(silenceCheckAfter)
+		w.rearm()
 		return
 	}
-	if w.conn.Received() == w.seen {
-		w.owner.settings.Counters.Silent.Add(1)
-		w.owner.dropIdle()
-		w.conn.Abort()
+	w.owner.settings.Counters.Silent.Add(1)
+	w.owner.dropIdle()
+	w.conn.Abort()
+}
+
+// progressed reports whether messages came since the last check, which puts off the next one.
+func (w *silenceWatch) progressed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	received := w.conn.Received()
+	if received == w.seen {
+		return false
 	}
+	w.seen = received
+	w.timer.Reset(silenceCheckAfter)
+	return true
+}
+
+func (w *silenceWatch) rearm() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer.Reset(silenceCheckAfter)
 }
 
 // dropIdle closes the idle connections to all members: what made one silent may have silenced others unnoticed.
--- a/io/pgsrv/open.go
+++ b/io/pgsrv/open.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"regexp"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,6 +16,9 @@
 // openTimeout bounds the search for an owner.
 const openTimeout = 5 * time.Second
 
+// readOnlyBlock matches a statement that opens a transaction block in which the caller only reads.
+var readOnlyBlock = regexp.MustCompile(`(?i)^\s*(begin|start\s+transaction)\b[^;]*\bread\s+only\b[^;]*;?\s*$`)
+
 // open starts a transaction for a batch.
 func (c *caller) open(b *batch, end bool) (*exchange, *fault.Fault) {
 	runs := b.executes > 0 || !end
@@ -33,6 +37,7 @@
 	begin.RequestKey = string(key)
 	if runs && b.first != "" {
 		begin.StatementHash = xxhash.Sum64String(b.first)
+		begin.ReadOnly = begin.ReadOnly || readOnlyBlock.MatchString(b.first)
 	}
 	ctx, cancel := context.WithTimeout(c.server.running, openTimeout)
 	defer cancel()
