--- a/io/check/measure_failover_test.go
+++ b/io/check/measure_failover_test.go
@@ -3,11 +3,14 @@
 package check_test
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"turmericpulley/io/check"
 	"turmericpulley/io/load"
 )
@@ -66,7 +69,7 @@
 		settings.Sessions = failoverSessions
 		settings.Duration = 6 * time.Second
 		settings.Seed += uint64(round)
-		result := measureFailover(f, settings, strike)
+		result := measureFailover(t, f, settings, strike)
 		for _, gap := range result.Gaps {
 			gaps = append(gaps, float64(gap.Length))
 		}
@@ -83,9 +86,10 @@
 }
 
 // measureFailover lets the primaries of all databases fail half a second apart under load.
-func measureFailover(f *check.Fleet, settings load.Settings, strike failure) load.Result {
+func measureFailover(t *testing.T, f *check.Fleet, settings load.Settings, strike failure) load.Result {
+	t.Helper()
 	repairs := make([]func(), len(f.Members))
-	result := f.Run(settings, faultDelay, func() {
+	result := runStruck(t, settings, func() {
 		striking := sync.WaitGroup{}
 		for database := range f.Members {
 			striking.Go(func() { repairs[database] = strike(f, database) })
@@ -98,3 +102,32 @@
 	}
 	return result
 }
+
+// runStruck generates the load and lets the fault strike once the prepared load has run for a second.
+func runStruck(t *testing.T, settings load.Settings, fault func()) load.Result {
+	t.Helper()
+	begun := &firstWrite{happened: make(chan struct{})}
+	settings.Progress = begun
+	striking := sync.WaitGroup{}
+	striking.Go(func() {
+		<-begun.happened
+		fault()
+	})
+	result, err := load.Run(context.Background(), settings)
+	require.NoError(t, err)
+	striking.Wait()
+	t.Logf("seed %d\n%s", settings.Seed, result.Text())
+	return result
+}
+
+// firstWrite tells when something was written for the first time.
+type firstWrite struct {
+	once     sync.Once
+	happened chan struct{}
+}
+
+// Write notes that something was written.
+func (w *firstWrite) Write(data []byte) (int, error) {
+	w.once.Do(func() { close(w.happened) })
+	return len(data), nil
+}
--- a/io/check/measure_takeover_test.go
+++ b/io/check/measure_takeover_test.go
@@ -29,7 +29,7 @@
 		settings.Seed += uint64(round)
 		database := round % len(f.Members)
 		var owner *check.Instance
-		result := f.Run(settings, faultDelay, func() {
+		result := runStruck(t, settings, func() {
 			owner = f.Owner(database)
 			owner.Kill()
 		})
