fix: a handover counts only when no other owner claimed meanwhile

Cause: a successor that was handed the rest of a lease skipped the wait also for a third owner that had claimed the members in between and was paused. Members now report the epoch before the present one, and the wait is skipped only when that of every claimed member is not above the epoch that handed over.

--- a/core/quorum/status.go
+++ b/core/quorum/status.go
@@ -17,6 +17,8 @@
 	Applied    types.Position
 	Committed  types.Position
 	Epoch      types.Epoch
+	// PreviousEpoch is the highest epoch that claimed the member before Epoch.
+	PreviousEpoch types.Epoch
 	// SinceOwner is the time since an owner of an older epoch last polled the member; negative when none did.
 	SinceOwner time.Duration
 	Leaving    bool
--- a/io/fakedb/journal.go
+++ b/io/fakedb/journal.go
@@ -18,7 +18,9 @@
 	Term       types.Term  `json:"term"`
 	FencedTerm types.Term  `json:"fencedTerm"`
 	Epoch      types.Epoch `json:"epoch"`
-	Discarded  uint64      `json:"discarded"`
+	// PreviousEpoch is the highest epoch before the present one.
+	PreviousEpoch types.Epoch `json:"previousEpoch,omitempty"`
+	Discarded     uint64      `json:"discarded"`
 }
 
 // record is one line of the state file; exactly one field is set.
--- a/io/fakedb/standing.go
+++ b/io/fakedb/standing.go
@@ -21,6 +21,7 @@
 	}
 	if epoch > m.promises.Epoch {
 		next := m.promises
+		next.PreviousEpoch = next.Epoch
 		next.Epoch = epoch
 		if err := m.remember(next); err != nil {
 			return Status{}, err
--- a/io/fakedb/status.go
+++ b/io/fakedb/status.go
@@ -15,21 +15,23 @@
 
 // Status is what a member reports about itself.
 type Status struct {
-	Target      types.TargetID
-	Role        Role
-	Term        types.Term
-	FencedTerm  types.Term
-	LogTerm     types.Term
-	Position    types.Position
-	Applied     types.Position
-	Committed   types.Position
-	Members     int
-	Epoch       types.Epoch
-	SinceOwner  time.Duration
-	Leaving     bool
-	Discarded   uint64
-	Streaming   bool
-	Connections int
+	Target     types.TargetID
+	Role       Role
+	Term       types.Term
+	FencedTerm types.Term
+	LogTerm    types.Term
+	Position   types.Position
+	Applied    types.Position
+	Committed  types.Position
+	Members    int
+	Epoch      types.Epoch
+	// PreviousEpoch is the highest epoch before the present one.
+	PreviousEpoch types.Epoch
+	SinceOwner    time.Duration
+	Leaving       bool
+	Discarded     uint64
+	Streaming     bool
+	Connections   int
 }
 
 // Status returns what the member reports about itself.
@@ -46,21 +48,22 @@
 		committed = m.applied
 	}
 	return Status{
-		Target:      m.settings.ID,
-		Role:        m.role,
-		Term:        m.promises.Term,
-		FencedTerm:  m.promises.FencedTerm,
-		LogTerm:     m.log.termAt(m.log.last()),
-		Position:    m.log.last(),
-		Applied:     m.applied,
-		Committed:   committed,
-		Members:     m.settings.Members,
-		Epoch:       m.promises.Epoch,
-		SinceOwner:  m.ownerCalls.sinceOlder(m.promises.Epoch),
-		Leaving:     m.leaving,
-		Discarded:   m.promises.Discarded,
-		Streaming:   m.role == Primary || time.Since(m.upstream.heardAt) <= streamingWindow,
-		Connections: len(m.sessions),
+		Target:        m.settings.ID,
+		Role:          m.role,
+		Term:          m.promises.Term,
+		FencedTerm:    m.promises.FencedTerm,
+		LogTerm:       m.log.termAt(m.log.last()),
+		Position:      m.log.last(),
+		Applied:       m.applied,
+		Committed:     committed,
+		Members:       m.settings.Members,
+		Epoch:         m.promises.Epoch,
+		PreviousEpoch: m.promises.PreviousEpoch,
+		SinceOwner:    m.ownerCalls.sinceOlder(m.promises.Epoch),
+		Leaving:       m.leaving,
+		Discarded:     m.promises.Discarded,
+		Streaming:     m.role == Primary || time.Since(m.upstream.heardAt) <= streamingWindow,
+		Connections:   len(m.sessions),
 	}
 }
 
@@ -85,6 +88,7 @@
 	add("committed", s.Committed.String())
 	add("members", strconv.Itoa(s.Members))
 	add("epoch", s.Epoch.String())
+	add("previousEpoch", s.PreviousEpoch.String())
 	add("sinceOwnerMs", strconv.FormatInt(sinceOwner, 10))
 	add("leaving", strconv.FormatBool(s.Leaving))
 	add("discarded", strconv.FormatUint(s.Discarded, 10))
--- a/io/owner/conductor.go
+++ b/io/owner/conductor.go
@@ -42,7 +42,7 @@
 func (c *conductor) step(ctx context.Context, now time.Time) {
 	switch c.owner.state.currentPhase() {
 	case claiming:
-		if c.owner.state.mayServe(now, c.owner.settings.HandedOverUntil) {
+		if c.owner.state.mayServe(now, c.owner.settings.HandedOver) {
 			c.noPrimarySince = now
 			c.owner.state.setPhase(electing)
 			c.findPrimary(ctx, now)
--- a/io/owner/control.go
+++ b/io/owner/control.go
@@ -81,6 +81,7 @@
 func parseStatus(row pgcli.Row) (quorum.Status, error) {
 	numbers := map[string]uint64{
 		"term": 0, "fencedTerm": 0, "logTerm": 0, "position": 0, "applied": 0, "committed": 0, "epoch": 0, "discarded": 0,
+		"previousEpoch": 0,
 	}
 	for column := range numbers {
 		value, err := row.Uint(column)
@@ -98,18 +99,19 @@
 		role = quorum.Primary
 	}
 	return quorum.Status{
-		Target:     types.TargetID(row["target"]),
-		Role:       role,
-		Term:       types.Term(numbers["term"]),
-		FencedTerm: types.Term(numbers["fencedTerm"]),
-		LogTerm:    types.Term(numbers["logTerm"]),
-		Position:   types.Position(numbers["position"]),
-		Applied:    types.Position(numbers["applied"]),
-		Committed:  types.Position(numbers["committed"]),
-		Epoch:      types.Epoch(numbers["epoch"]),
-		SinceOwner: time.Duration(since) * time.Millisecond,
-		Leaving:    row["leaving"] == "true",
-		Streaming:  row["streaming"] == "true",
-		Discarded:  numbers["discarded"],
+		Target:        types.TargetID(row["target"]),
+		Role:          role,
+		Term:          types.Term(numbers["term"]),
+		FencedTerm:    types.Term(numbers["fencedTerm"]),
+		LogTerm:       types.Term(numbers["logTerm"]),
+		Position:      types.Position(numbers["position"]),
+		Applied:       types.Position(numbers["applied"]),
+		Committed:     types.Position(numbers["committed"]),
+		Epoch:         types.Epoch(numbers["epoch"]),
+		PreviousEpoch: types.Epoch(numbers["previousEpoch"]),
+		SinceOwner:    time.Duration(since) * time.Millisecond,
+		Leaving:       row["leaving"] == "true",
+		Streaming:     row["streaming"] == "true",
+		Discarded:     numbers["discarded"],
 	}, nil
 }
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -30,9 +30,8 @@
 	inFlight int
 	draining bool
 	released bool
-	// releasedUntil is the end of the lease when the database was released.
-	releasedUntil time.Time
-	idle          chan struct{}
+	handover Handover
+	idle     chan struct{}
 }
 
 // New claims the members of a database and starts to watch them.
@@ -82,8 +81,8 @@
 }
 
 // Release lets the transactions in flight finish, then gives up the members; new ones are refused at once. It returns
-// the time up to which no other owner can have started to serve, zero when some transactions did not finish.
-func (o *Owner) Release(ctx context.Context) time.Time {
+// what the next owner may rely on, zero when some transactions did not finish.
+func (o *Owner) Release(ctx context.Context) Handover {
 	o.mu.Lock()
 	if !o.draining {
 		o.draining = true
@@ -98,22 +97,22 @@
 	case <-ctx.Done():
 		finished = false
 	}
-	until := o.noteRelease(finished)
+	h := o.noteRelease(finished)
 	o.Close()
-	return until
+	return h
 }
 
-// noteRelease keeps the end of the lease at the first release, which later ones return as well.
-func (o *Owner) noteRelease(finished bool) time.Time {
+// noteRelease keeps the handover of the first release, which later ones return as well.
+func (o *Owner) noteRelease(finished bool) Handover {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if !o.released {
 		o.released = true
 		if finished {
-			o.releasedUntil = o.state.leaseUntil()
+			o.handover = Handover{Epoch: o.settings.Epoch, Until: o.state.leaseUntil()}
 		}
 	}
-	return o.releasedUntil
+	return o.handover
 }
 
 // Close ends all connections to the members at once and waits for the owner's goroutines.
--- a/io/owner/settings.go
+++ b/io/owner/settings.go
@@ -16,9 +16,8 @@
 	Group    policy.Group
 	Database policy.Database
 	Epoch    types.Epoch
-	// HandedOverUntil is the time up to which no owner but the previous one, which has stopped, can have served; until
-	// then its lease need not be waited for.
-	HandedOverUntil time.Time
+	// HandedOver is what the previous owner said when it stopped; zero when none did.
+	HandedOver Handover
 	// Leaving reports whether the platform lists a member as leaving; nil means none.
 	Leaving func(types.TargetID) bool
 	// Resolve maps a member's address to the one to dial; nil means the same.
--- a/io/owner/stateview.go
+++ b/io/owner/stateview.go
@@ -20,13 +20,17 @@
 }
 
 // mayServe reports whether a majority is claimed and the lease of the previous owner is over or was handed over.
-func (s *state) mayServe(now, handedOverUntil time.Time) bool {
+func (s *state) mayServe(now time.Time, handedOver Handover) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.claims) < s.majority {
 		return false
 	}
-	return now.Before(handedOverUntil) || !now.Before(s.serveAfter)
+	var lastBefore types.Epoch
+	for _, claim := range s.claims {
+		lastBefore = max(lastBefore, claim.PreviousEpoch)
+	}
+	return handedOver.valid(now, lastBefore) || !now.Before(s.serveAfter)
 }
 
 // supersededBy returns the highest epoch that any member reported.
--- a/io/server/owners.go
+++ b/io/server/owners.go
@@ -46,8 +46,8 @@
 
 	mu   sync.Mutex
 	held map[types.DatabaseID]*holding
-	// released holds until when no other owner can serve a database that was released and not yet handed to anyone.
-	released map[types.DatabaseID]time.Time
+	// released holds the databases that were released and not yet handed to anyone.
+	released map[types.DatabaseID]owner.Handover
 	stopping bool
 }
 
@@ -84,7 +84,7 @@
 		running:  running,
 		stop:     stop,
 		held:     map[types.DatabaseID]*holding{},
-		released: map[types.DatabaseID]time.Time{},
+		released: map[types.DatabaseID]owner.Handover{},
 	}
 	m.duties.Go(func() { m.reconcileOnChange(running, s.changes) })
 	m.duties.Go(func() { m.leaving.poll(running) })
@@ -225,23 +225,23 @@
 	h := &holding{ready: make(chan struct{})}
 	m.held[database.Database] = h
 	m.duties.Go(func() {
-		handedOverUntil := m.askRelease(database)
+		handedOver := m.askRelease(database)
 		h.owner = owner.New(owner.Settings{
-			Group:           group,
-			Database:        database,
-			Epoch:           m.entitler.epochFor(database.Database, x),
-			HandedOverUntil: handedOverUntil,
-			Leaving:         m.leaving.contains,
-			Resolve:         m.resolve,
-			Writes:          m.writes,
-			Counters:        m.counters,
-			Promoted:        m.promoted,
-			Queued:          m.queued,
-			Recorder:        m.recorder,
-			Logger:          m.logger,
+			Group:      group,
+			Database:   database,
+			Epoch:      m.entitler.epochFor(database.Database, x),
+			HandedOver: handedOver,
+			Leaving:    m.leaving.contains,
+			Resolve:    m.resolve,
+			Writes:     m.writes,
+			Counters:   m.counters,
+			Promoted:   m.promoted,
+			Queued:     m.queued,
+			Recorder:   m.recorder,
+			Logger:     m.logger,
 		})
 		m.logger.Info("database taken", "database", database.Database, "epoch", h.owner.Epoch(),
-			"handedOver", !handedOverUntil.IsZero())
+			"handedOver", handedOver.Epoch != 0)
 		close(h.ready)
 	})
 	return h
--- a/io/server/release.go
+++ b/io/server/release.go
@@ -16,9 +16,9 @@
 // releaseCandidates is the number of next-ranked instances that may have owned a database before.
 const releaseCandidates = 2
 
-// askRelease asks the instances that may own the database to hand it over; when one of them did so while its lease held,
-// no other owner can serve before the time returned.
-func (m *owners) askRelease(database policy.Database) time.Time {
+// askRelease asks the instances that may own the database to hand it over; it returns the handover
+// of the latest owner that answered, zero when none did.
+func (m *owners) askRelease(database policy.Database) owner.Handover {
 	members := m.network.Membership()
 	var candidates []fleet.Instance
 	for _, i := range members.Ranked(database) {
@@ -34,25 +34,25 @@
 	candidates = slices.DeleteFunc(candidates, func(i fleet.Instance) bool { return m.network.Suspected(i.ID) })
 	ctx, cancel := context.WithTimeout(m.running, releaseTimeout+time.Second)
 	defer cancel()
-	released := make(chan time.Time, len(candidates))
+	released := make(chan owner.Handover, len(candidates))
 	for _, i := range candidates {
 		go func() { released <- m.requestRelease(ctx, i.ID, database.Database) }()
 	}
-	var until time.Time
+	var latest owner.Handover
 	for range candidates {
-		if leased := <-released; leased.After(until) {
-			until = leased
+		if h := <-released; h.Epoch > latest.Epoch {
+			latest = h
 		}
 	}
-	return until
+	return latest
 }
 
-// requestRelease asks one instance and returns the end of its lease at the earliest; zero when it did not hand over.
-func (m *owners) requestRelease(ctx context.Context, id types.InstanceID, database types.DatabaseID) time.Time {
+// requestRelease asks one instance; the handover is zero when there was nothing to hand over.
+func (m *owners) requestRelease(ctx context.Context, id types.InstanceID, database types.DatabaseID) owner.Handover {
 	sentAt := time.Now()
 	s, err := m.network.Open(ctx, id, &wire.Begin{RequestId: 1, Database: string(database), Release: true})
 	if err != nil {
-		return time.Time{}
+		return owner.Handover{}
 	}
 	defer func() { _ = s.Close() }()
 	if deadline, ok := ctx.Deadline(); ok {
@@ -60,23 +60,28 @@
 	}
 	defer context.AfterFunc(ctx, func() { _ = s.Close() })()
 	f, err := s.Receive()
-	if err != nil || f.GetOutcome().GetPosition() == 0 {
-		return time.Time{}
+	h := f.GetOutcome().GetHandover()
+	if err != nil || h.GetEpoch() == 0 {
+		return owner.Handover{}
+	}
+	return owner.Handover{
+		Epoch: types.Epoch(h.GetEpoch()),
+		Until: sentAt.Add(time.Duration(h.GetLeaseMs()) * time.Millisecond),
 	}
-	return sentAt.Add(time.Duration(f.GetOutcome().GetPosition()) * time.Millisecond)
 }
 
-// answerRelease hands a database over; the answer carries, as its position, the milliseconds for which no other owner can
-// serve. Only the first one who asks gets that answer.
+// answerRelease hands a database over. Only the first one who asks gets the rest of the lease.
 func (m *owners) answerRelease(ctx context.Context, begin *wire.Begin, s owner.Stream) {
 	database := types.DatabaseID(begin.GetDatabase())
 	m.release(ctx, database)
 	m.mu.Lock()
-	until := m.released[database]
+	h := m.released[database]
 	delete(m.released, database)
 	m.mu.Unlock()
-	remaining := max(time.Until(until).Milliseconds(), 0)
-	_ = s.Send(&wire.Frame{RequestId: begin.GetRequestId(), Outcome: &wire.Outcome{Position: uint64(remaining)}})
+	_ = s.Send(&wire.Frame{RequestId: begin.GetRequestId(), Outcome: &wire.Outcome{Handover: &wire.Handover{
+		Epoch:   uint64(h.Epoch),
+		LeaseMs: uint32(max(time.Until(h.Until).Milliseconds(), 0)),
+	}}})
 }
 
 // release gives up a database after its transactions in flight.
@@ -93,14 +98,14 @@
 	if o == nil {
 		return
 	}
-	until := o.Release(ctx)
+	handover := o.Release(ctx)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.held[database] != h {
 		return
 	}
 	delete(m.held, database)
-	m.released[database] = until
+	m.released[database] = handover
 }
 
 // heldDatabases returns the databases that this instance owns or is about to own.
