perf: route to the instance that answered last without ranking the others

Cause: every transaction ranked all instances of the region by hashing, 314 of them at the size of two years from now.

--- a/io/server/fleet_test.go
+++ b/io/server/fleet_test.go
@@ -38,8 +38,8 @@
 	testDatabase = "orders-0"
 )
 
-func startFleet(t *testing.T, instances int, change func(*fakedb.Settings)) *fleet {
-	t.Helper()
+func startFleet(tb testing.TB, instances int, change func(*fakedb.Settings)) *fleet {
+	tb.Helper()
 	f := &fleet{}
 	group := policy.Group{Group: "orders-db", Slots: 2, Connections: 15}
 	database := policy.Database{Database: testDatabase}
@@ -55,10 +55,10 @@
 			change(&settings)
 		}
 		m, err := fakedb.Start(settings)
-		require.NoError(t, err)
-		t.Cleanup(func() { _ = m.Close() })
+		require.NoError(tb, err)
+		tb.Cleanup(func() { _ = m.Close() })
 		f.members = append(f.members, m)
-		f.links = append(f.links, check.NewLink(t, string(settings.ID), m.Address()))
+		f.links = append(f.links, check.NewLink(tb, string(settings.ID), m.Address()))
 		database.Members = append(database.Members, policy.Member{
 			Target: settings.ID, Address: m.Address(), DataCentre: types.DataCentre(fmt.Sprintf("slo-%c", 'a'+i)),
 		})
@@ -67,20 +67,20 @@
 	contract := policy.Contract{
 		Customer: testCustomer, Groups: []types.GroupID{"orders-db"}, Connections: 6, MaxReadAge: policy.Duration(2 * time.Second),
 	}
-	f.seed = map[string]string{"groups/orders-db": encode(t, group), "contracts/" + testCustomer: encode(t, contract)}
+	f.seed = map[string]string{"groups/orders-db": encode(tb, group), "contracts/" + testCustomer: encode(tb, contract)}
 	platform, err := fakekv.Start(fakekv.Settings{Address: "127.0.0.1:0", Seed: f.seed})
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = platform.Close() })
+	require.NoError(tb, err)
+	tb.Cleanup(func() { _ = platform.Close() })
 	f.platform = platform
-	f.startServers(t, instances)
+	f.startServers(tb, instances)
 	return f
 }
 
-func (f *fleet) startServers(t *testing.T, instances int) {
-	t.Helper()
+func (f *fleet) startServers(tb testing.TB, instances int) {
+	tb.Helper()
 	seeds := make([]string, 0, instances)
 	for range instances {
-		seeds = append(seeds, freeAddress(t))
+		seeds = append(seeds, freeAddress(tb))
 	}
 	links := map[string]string{}
 	for i, m := range f.members {
@@ -97,35 +97,35 @@
 			Platform:       f.platform.URL(),
 			Seeds:          seeds,
 			Links:          links,
-			Logger:         hclog.New(&hclog.LoggerOptions{Level: hclog.Info, Output: t.Output(), Name: fmt.Sprintf("i%d", i)}),
+			Logger:         hclog.New(&hclog.LoggerOptions{Level: hclog.Info, Output: tb.Output(), Name: fmt.Sprintf("i%d", i)}),
 		})
-		require.NoError(t, err)
-		t.Cleanup(s.Close)
+		require.NoError(tb, err)
+		tb.Cleanup(s.Close)
 		f.servers = append(f.servers, s)
 	}
 }
 
 // connect opens a caller's connection at an instance once it takes callers.
-func (f *fleet) connect(t *testing.T, instance int, session string) *pgx.Conn {
-	t.Helper()
+func (f *fleet) connect(tb testing.TB, instance int, session string) *pgx.Conn {
+	tb.Helper()
 	config, err := pgx.ParseConfig(fmt.Sprintf("postgres://%s@%s/%s?sslmode=disable",
 		testCustomer, f.servers[instance].CallersAddress(), testDatabase))
-	require.NoError(t, err)
+	require.NoError(tb, err)
 	config.RuntimeParams["pulley.session"] = session
 	var conn *pgx.Conn
-	require.EventuallyWithT(t, func(c *assertT) {
+	require.EventuallyWithT(tb, func(c *assertT) {
 		require.True(c, f.servers[instance].Report().Ready)
 		conn, err = pgx.ConnectConfig(context.Background(), config)
 		require.NoError(c, err)
 	}, 5*time.Second, 20*time.Millisecond)
-	t.Cleanup(func() { _ = conn.Close(context.Background()) })
+	tb.Cleanup(func() { _ = conn.Close(context.Background()) })
 	return conn
 }
 
-func encode(t *testing.T, document any) string {
-	t.Helper()
+func encode(tb testing.TB, document any) string {
+	tb.Helper()
 	text, err := json.Marshal(document)
-	require.NoError(t, err)
+	require.NoError(tb, err)
 	return string(text)
 }
 
@@ -135,37 +135,37 @@
 const firstPort, portCount = 20000, 12000
 
 // freeAddress returns an address that no other test of this process gets.
-func freeAddress(t *testing.T) string {
-	t.Helper()
+func freeAddress(tb testing.TB) string {
+	tb.Helper()
 	for range portCount {
 		port := firstPort + (os.Getpid()*64+int(nextPort.Add(1)))%portCount
 		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			continue
 		}
-		require.NoError(t, l.Close())
+		require.NoError(tb, l.Close())
 		return l.Addr().String()
 	}
-	require.FailNow(t, "no port is free")
+	require.FailNow(tb, "no port is free")
 	return ""
 }
 
 // owner returns the instance that owns the database.
-func (f *fleet) owner(t *testing.T) *server.Server {
-	t.Helper()
+func (f *fleet) owner(tb testing.TB) *server.Server {
+	tb.Helper()
 	for _, s := range f.servers {
 		if len(s.Report().Databases) > 0 && s.Report().Databases[0].Phase == "serving" {
 			return s
 		}
 	}
-	require.FailNow(t, "no instance owns the database")
+	require.FailNow(tb, "no instance owns the database")
 	return nil
 }
 
 // waitForOwner waits until all instances have joined and one of them serves the database.
-func (f *fleet) waitForOwner(t *testing.T) {
-	t.Helper()
-	require.Eventually(t, func() bool {
+func (f *fleet) waitForOwner(tb testing.TB) {
+	tb.Helper()
+	require.Eventually(tb, func() bool {
 		serving := 0
 		for _, s := range f.servers {
 			r := s.Report()
--- a/io/server/routed.go
+++ b/io/server/routed.go
@@ -137,6 +137,11 @@
 
 // connect opens a stream at the wanted instance, or at the likeliest, and sends what was sent before.
 func (s *routed) connect(wanted types.InstanceID) error {
+	if wanted == "" {
+		if id, ok := s.router.hinted(types.DatabaseID(s.begin.GetDatabase())); ok && s.connectTo(id) {
+			return nil
+		}
+	}
 	for !s.isClosed() {
 		for _, id := range s.next(wanted) {
 			if s.connectTo(id) {
--- a/io/server/router.go
+++ b/io/server/router.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"turmericpulley/core/fault"
-	"turmericpulley/core/fleet"
 	"turmericpulley/core/types"
 	"turmericpulley/io/peers"
 	"turmericpulley/io/pgsrv"
@@ -66,9 +65,6 @@
 	}
 	members := r.network.Membership()
 	var trusted, suspected []types.InstanceID
-	if h, ok := r.hint(database); ok && h.revision == members.Revision && fleet.Holds(members.Instances, h.owner) {
-		trusted = append(trusted, h.owner)
-	}
 	for _, i := range members.Ranked(d) {
 		if r.network.Suspected(i.ID) {
 			suspected = append(suspected, i.ID)
@@ -79,11 +75,12 @@
 	return append(trusted, suspected...)
 }
 
-func (r *router) hint(database types.DatabaseID) (hint, bool) {
+// hinted returns the instance that answered last for the database; false when that was under an older membership.
+func (r *router) hinted(database types.DatabaseID) (types.InstanceID, bool) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	h, ok := r.hints[database]
-	return h, ok
+	r.mu.Unlock()
+	return h.owner, ok && h.revision == r.network.Membership().Revision
 }
 
 func (r *router) remember(database types.DatabaseID, id types.InstanceID) {
