--- a/io/check/measure_failover_test.go
+++ b/io/check/measure_failover_test.go
@@ -24,6 +24,8 @@
 	failoverRate load.Rate = 600
 	// cutRounds times the databases gives the number of primaries cut off.
 	cutRounds = 2
+	// quietRounds times the databases gives the number of gaps without a failure.
+	quietRounds = 2
 )
 
 // TestMeasureFailover prints how long no write is acknowledged after primaries are killed.
@@ -46,6 +48,16 @@
 	}
 }
 
+// TestMeasureNoFailure prints the longest distance between two writes when nothing fails.
+func TestMeasureNoFailure(t *testing.T) {
+	for _, s := range sizes() {
+		t.Run(s.name, func(t *testing.T) {
+			f := s.start(t)
+			measureFailovers(t, f, s, "no failure", quietRounds, func(*check.Fleet, int) func() { return func() {} })
+		})
+	}
+}
+
 // failure makes the primary of a database fail and returns what repairs it after the load.
 type failure func(f *check.Fleet, database int) (repair func())
 
