--- /dev/null
+++ b/core/pause/doc.go
@@ -0,0 +1,2 @@
+// Package pause waits for a time that a context may cut short.
+package pause
--- a/io/admin/apply.go
+++ b/io/admin/apply.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"turmericpulley/core/fleet"
+	"turmericpulley/core/pause"
 	"turmericpulley/core/policy"
 	"turmericpulley/core/types"
 )
@@ -43,7 +44,7 @@
 			result.Outcome = Accepted
 			return result
 		}
-		if !pause(ctx, interval) {
+		if !pause.For(ctx, interval) {
 			return unconfirmed(result, problem)
 		}
 	}
--- a/io/admin/change.go
+++ b/io/admin/change.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"turmericpulley/core/fault"
+	"turmericpulley/core/pause"
 	"turmericpulley/core/policy"
 	"turmericpulley/core/types"
 )
@@ -77,7 +78,7 @@
 func (c *Client) readContract(ctx context.Context, customer types.CustomerID) (Version, bool, error) {
 	for {
 		version, found, err := c.Contract(ctx, customer)
-		if err == nil || !pause(ctx, pollInterval) {
+		if err == nil || !pause.For(ctx, pollInterval) {
 			return version, found, err
 		}
 	}
@@ -103,15 +104,3 @@
 	_, err = policy.ParseContract(value)
 	return value, err
 }
-
-// pause waits before another attempt and reports whether there is time for one.
-func pause(ctx context.Context, interval time.Duration) bool {
-	timer := time.NewTimer(interval)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/io/admin/submit.go
+++ b/io/admin/submit.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"turmericpulley/core/fault"
+	"turmericpulley/core/pause"
 	"turmericpulley/core/policy"
 	"turmericpulley/core/types"
 )
@@ -46,7 +47,7 @@
 				return result
 			}
 		}
-		if !pause(ctx, pollInterval) {
+		if !pause.For(ctx, pollInterval) {
 			return gaveUp(one, doubt, err)
 		}
 	}
--- a/io/load/backoff.go
+++ b/io/load/backoff.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"turmericpulley/core/pause"
 )
 
 const (
@@ -21,14 +23,7 @@
 
 // wait sleeps for a random part of the present limit and doubles the limit; it reports false when the context ended.
 func (b *backoff) wait(ctx context.Context) bool {
-	pause := b.limit/2 + time.Duration(b.random.Int64N(int64(b.limit/2)))
+	span := b.limit/2 + time.Duration(b.random.Int64N(int64(b.limit/2)))
 	b.limit = min(2*b.limit, lastBackoff)
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return pause.For(ctx, span)
 }
--- a/io/owner/monitor.go
+++ b/io/owner/monitor.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"time"
 
+	"turmericpulley/core/pause"
 	"turmericpulley/core/quorum"
 	"turmericpulley/core/types"
 	"turmericpulley/io/pgcli"
@@ -17,7 +17,7 @@
 // monitor keeps a claim on one member and watches it until the context ends or the ownership is lost.
 func (o *Owner) monitor(ctx context.Context, m *member) {
 	failures := 0
-	pause := monitorRetryMin
+	delay := monitorRetryMin
 	claimedBefore := false
 	for ctx.Err() == nil {
 		watched, err := o.watchOnce(ctx, m, &claimedBefore)
@@ -29,7 +29,7 @@
 		}
 		if watched {
 			failures = 0
-			pause = monitorRetryMin
+			delay = monitorRetryMin
 			continue
 		}
 		failures++
@@ -37,10 +37,10 @@
 			o.state.markDown(m.info.Target)
 			m.pool.dropIdle()
 		}
-		if !wait(ctx, pause) {
+		if !pause.For(ctx, delay) {
 			return
 		}
-		pause = min(2*pause, monitorRetryMax)
+		delay = min(2*delay, monitorRetryMax)
 	}
 }
 
@@ -106,15 +106,3 @@
 	}
 	return observed.Epoch
 }
-
-// wait pauses and reports whether the context is still alive.
-func wait(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/io/owner/primary.go
+++ b/io/owner/primary.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"turmericpulley/core/fault"
+	"turmericpulley/core/pause"
 	"turmericpulley/core/trace"
 	"turmericpulley/core/types"
 	"turmericpulley/io/pgcli"
@@ -45,7 +46,7 @@
 		if a.refusedWrite && !a.completed && ended && a.status == pgcli.StatusIdle && !t.relayed && !t.begin.GetReadOnly() {
 			g.release(true)
 			t.note(trace.Event{What: trace.Retried, Target: g.target, Term: g.term, Detail: "the primary was replaced and refused"})
-			if !wait(ctx, primaryRetryPause) {
+			if !pause.For(ctx, primaryRetryPause) {
 				return fault.New(fault.NoPrimary, "the database has no primary")
 			}
 			continue
@@ -80,7 +81,7 @@
 			}
 			g.release(true)
 		}
-		if time.Now().After(until) || !wait(ctx, primaryRetryPause) {
+		if time.Now().After(until) || !pause.For(ctx, primaryRetryPause) {
 			return grant{}, fault.New(fault.NoPrimary, "the primary could not be reached in time")
 		}
 	}
--- a/io/peers/docwatch.go
+++ b/io/peers/docwatch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"turmericpulley/core/fleet"
+	"turmericpulley/core/pause"
 	"turmericpulley/core/relay"
 	"turmericpulley/core/types"
 )
@@ -61,16 +62,16 @@
 // follow lists changes after the revision for as long as the instance is a watcher; the first listing does not wait, so
 // that it confirms at once.
 func (d *docwatch) follow(ctx context.Context, after types.Revision) {
-	pause := backoff{least: leastStorePause, most: mostWatchPause}
+	retries := backoff{least: leastStorePause, most: mostWatchPause}
 	wait := time.Duration(0)
 	for ctx.Err() == nil && d.node.isStoreWatcher() {
 		sent := time.Now()
 		page, err := d.list(ctx, after, wait)
 		if err != nil {
-			sleep(ctx, pause.pause())
+			pause.For(ctx, retries.pause())
 			continue
 		}
-		pause.reset()
+		retries.reset()
 		d.take(page)
 		after = max(after, page.Revision)
 		d.node.records.confirmed(d.prefix, relay.ConfirmedAt(sent, time.Now(), wait, len(page.Entries)))
--- a/io/peers/joiner.go
+++ b/io/peers/joiner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"turmericpulley/core/fleet"
+	"turmericpulley/core/pause"
 	"turmericpulley/core/types"
 	"turmericpulley/io/wire"
 )
@@ -130,7 +131,7 @@
 		j.wasMember = false
 		j.node.roster.change(func(self *fleet.Instance) { self.Incarnation++ })
 		j.node.logger.Warn("removed from the membership, joining again")
-		if !sleep(ctx, j.pause.pause()) {
+		if !pause.For(ctx, j.pause.pause()) {
 			return
 		}
 	}
@@ -141,7 +142,7 @@
 	}
 	j.attempts++
 	j.node.logger.Warn("not joined yet", "attempts", j.attempts, "reason", err)
-	if sleep(ctx, j.pause.pause()) && j.node.roster.current().Revision == 0 {
+	if pause.For(ctx, j.pause.pause()) && j.node.roster.current().Revision == 0 {
 		j.learn(ctx)
 	}
 }
@@ -179,7 +180,7 @@
 		Instance: string(self.ID), Incarnation: uint64(self.Incarnation), Finished: finished,
 	}}}
 	change := leaveChange(self.ID, self.Incarnation, finished)
-	pause := backoff{least: leastStorePause, most: mostStorePause}
+	retries := backoff{least: leastStorePause, most: mostStorePause}
 	for attempts := 0; ; attempts++ {
 		err := j.proposer.ask(ctx, change, request)
 		if err != nil && attempts >= attemptsByPeers {
@@ -188,7 +189,7 @@
 		if err == nil {
 			return nil
 		}
-		if !sleep(ctx, pause.pause()) {
+		if !pause.For(ctx, retries.pause()) {
 			return err
 		}
 	}
--- a/io/peers/pause.go
+++ b/io/peers/pause.go
@@ -1,7 +1,6 @@
 package peers
 
 import (
-	"context"
 	"math/rand/v2"
 	"time"
 )
@@ -22,15 +21,3 @@
 
 // reset starts again with the shortest pause.
 func (b *backoff) reset() { b.next = b.least }
-
-// sleep waits and reports whether the context is still valid.
-func sleep(ctx context.Context, span time.Duration) bool {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/io/peers/watch.go
+++ b/io/peers/watch.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"turmericpulley/core/fleet"
+	"turmericpulley/core/pause"
 )
 
 // watch sends heartbeats to one instance and notices when it stops answering.
@@ -48,11 +49,11 @@
 func (w *watch) next(ctx context.Context) {
 	switch step := w.monitor.Next().(type) {
 	case fleet.SendHeartbeat:
-		if sleep(ctx, time.Until(step.At)) {
+		if pause.For(ctx, time.Until(step.At)) {
 			w.sendHeartbeat(ctx, step.Deadline)
 		}
 	case fleet.SendProbe:
-		if sleep(ctx, time.Until(step.At)) {
+		if pause.For(ctx, time.Until(step.At)) {
 			w.sendProbe(ctx)
 		}
 	}
