--- a/io/server/owners.go
+++ b/io/server/owners.go
@@ -202,6 +202,9 @@
 		return h
 	}
 	if isLost, epoch := h.owner.Lost(); isLost {
+		if m.stopping {
+			return nil
+		}
 		delete(m.held, database)
 		if epoch > h.owner.Epoch() {
 			m.entitler.lostTo(database, epoch)
--- a/io/server/path_test.go
+++ b/io/server/path_test.go
@@ -2,12 +2,22 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"turmericpulley/core/policy"
+	"turmericpulley/core/trace"
+	"turmericpulley/core/types"
+	"turmericpulley/io/server"
 )
 
 type assertT = assert.CollectT
@@ -49,3 +59,39 @@
 	_, err := c.Exec(ctx, "BEGIN READ ONLY; INSERT INTO orders (key, value) VALUES ('k', 'x'); COMMIT", pgx.QueryExecModeSimpleProtocol)
 	requireState(t, err, "25006")
 }
+
+// TestTrailShowsThePathOfARequest looks up a refused request at its caller's instance and at the owner.
+func TestTrailShowsThePathOfARequest(t *testing.T) {
+	f := startFleet(t, 2, nil)
+	f.connect(t, 0, "probe")
+	f.waitForOwner(t)
+	other := 0
+	if f.servers[0] == f.owner(t) {
+		other = 1
+	}
+	f.put(t, policy.Contract{Customer: testCustomer, Groups: []types.GroupID{"orders-db"}, Connections: 6, RequestRate: 1})
+	c := f.connect(t, other, "desk-1")
+	var refused *pgconn.PgError
+	require.Eventually(t, func() bool {
+		_, err := c.Exec(t.Context(), "SELECT value FROM orders WHERE key = 'a'", pgx.QueryExecModeSimpleProtocol)
+		return errors.As(err, &refused) && refused.Code == "53400"
+	}, 5*time.Second, 5*time.Millisecond)
+	id := strings.Fields(refused.Where)[1]
+	require.Equal(t, []trace.Step{trace.Routed, trace.Refused}, f.steps(t, f.servers[other], id))
+	require.Equal(t, []trace.Step{trace.Refused}, f.steps(t, f.owner(t), id))
+}
+
+// steps returns what an instance remembers of a request.
+func (f *fleet) steps(t *testing.T, s *server.Server, id string) []trace.Step {
+	t.Helper()
+	answer, err := http.Get("http://" + s.HTTPAddress() + "/debug/requests/" + id)
+	require.NoError(t, err)
+	defer func() { _ = answer.Body.Close() }()
+	var trail trace.Trail
+	require.NoError(t, json.NewDecoder(answer.Body).Decode(&trail))
+	steps := make([]trace.Step, 0, len(trail.Events))
+	for _, e := range trail.Events {
+		steps = append(steps, e.What)
+	}
+	return steps
+}
--- a/io/server/routed.go
+++ b/io/server/routed.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"turmericpulley/core/fault"
+	"turmericpulley/core/trace"
 	"turmericpulley/core/types"
 	"turmericpulley/io/peers"
 	"turmericpulley/io/wire"
@@ -192,5 +193,6 @@
 	}
 	s.stream = stream
 	s.at = id
+	s.router.trails.Add(types.RequestID(s.begin.GetRequestId()), trace.Event{What: trace.Routed, Peer: id})
 	return true
 }
--- a/io/server/router.go
+++ b/io/server/router.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"turmericpulley/core/fault"
+	"turmericpulley/core/trace"
 	"turmericpulley/core/types"
 	"turmericpulley/io/peers"
 	"turmericpulley/io/pgsrv"
@@ -24,6 +25,7 @@
 	self    types.InstanceID
 	network network
 	local   func(ctx context.Context, begin *wire.Begin) (peers.Stream, error)
+	trails  *trace.Recorder
 
 	mu    sync.Mutex
 	hints map[types.DatabaseID]hint
@@ -35,12 +37,16 @@
 	revision types.Revision
 }
 
-func newRouter(self types.InstanceID, n network, local func(context.Context, *wire.Begin) (peers.Stream, error)) *router {
-	return &router{self: self, network: n, local: local, hints: map[types.DatabaseID]hint{}}
+func newRouter(
+	self types.InstanceID, n network, local func(context.Context, *wire.Begin) (peers.Stream, error), trails *trace.Recorder,
+) *router {
+	return &router{self: self, network: n, local: local, trails: trails, hints: map[types.DatabaseID]hint{}}
 }
 
 // Open starts a transaction at the owner of its database; when it fails nothing has run.
 func (r *router) Open(ctx context.Context, begin *wire.Begin) (pgsrv.Stream, error) {
+	r.trails.Begin(types.RequestID(begin.GetRequestId()), types.CustomerID(begin.GetCustomer()),
+		types.DatabaseID(begin.GetDatabase()), types.SessionName(begin.GetSession()))
 	s := &routed{router: r, ctx: ctx, begin: begin, until: time.Now().Add(routeTimeout), pause: routePauseMin}
 	if err := s.connect(""); err != nil {
 		return nil, err
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -135,7 +135,7 @@
 	callers, err := pgsrv.New(pgsrv.Settings{
 		Address:        v.settings.CallersAddress,
 		InstanceID:     v.settings.ID,
-		Router:         newRouter(v.settings.ID, v.peers, v.openLocal),
+		Router:         newRouter(v.settings.ID, v.peers, v.openLocal, v.recorder),
 		Book:           v.peers.Book(),
 		Gate:           v.peers,
 		Logger:         v.logger.Named("callers"),
