--- a/core/tests/seed.go
+++ b/core/tests/seed.go
@@ -15,9 +15,14 @@
 	DefaultChecks = 100
 )
 
-// Run runs the tests of a package with a fixed seed and a number of checks for property tests, unless the command line
-// gives others.
+// Run runs the tests of a package with property tests as Fix sets them.
 func Run(m *testing.M, checks int) {
+	Fix(checks)
+	os.Exit(m.Run())
+}
+
+// Fix gives property tests a fixed seed and a number of checks, unless the command line gives others.
+func Fix(checks int) {
 	flag.Parse()
 	given := map[string]bool{}
 	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
@@ -26,5 +31,4 @@
 			_ = f.Value.Set(value)
 		}
 	}
-	os.Exit(m.Run())
 }
--- a/io/fakedb/basic_test.go
+++ b/io/fakedb/basic_test.go
@@ -10,12 +10,16 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"turmericpulley/core/tests"
 	"turmericpulley/io/fakedb"
 )
 
 const testTimeout = 10 * time.Second
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) {
+	tests.Fix(tests.DefaultChecks)
+	goleak.VerifyTestMain(m)
+}
 
 func fast() fakedb.Settings {
 	settings := fakedb.Defaults()
--- a/io/pgsrv/harness_test.go
+++ b/io/pgsrv/harness_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/goleak"
 
 	"turmericpulley/core/policy"
+	"turmericpulley/core/tests"
 	"turmericpulley/core/types"
 	"turmericpulley/io/pgsrv"
 	"turmericpulley/io/wire"
@@ -21,7 +22,10 @@
 
 const patience = 5 * time.Second
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) {
+	tests.Fix(tests.DefaultChecks)
+	goleak.VerifyTestMain(m)
+}
 
 // bench is a server with scripted owners and documents that tests change.
 type bench struct {
--- a/io/server/fleet_test.go
+++ b/io/server/fleet_test.go
@@ -162,22 +162,41 @@
 	return nil
 }
 
-// waitForOwner waits until all instances have joined and one of them serves the database.
+// settledPolls is how many polls in a row must find the same owner; a join may still move the database before.
+const settledPolls = 15
+
+// waitForOwner waits until all instances have joined and the same one of them serves the database for a while.
 func (f *fleet) waitForOwner(tb testing.TB) {
 	tb.Helper()
+	var last *server.Server
+	polls := 0
 	require.Eventually(tb, func() bool {
-		serving := 0
-		for _, s := range f.servers {
-			r := s.Report()
-			if len(r.Instances) != len(f.servers) {
-				return false
-			}
-			for _, d := range r.Databases {
-				if d.Phase == "serving" {
-					serving++
-				}
-			}
+		serving := f.serving()
+		if len(serving) != 1 || serving[0] != last {
+			polls = 0
 		}
-		return serving == 1
+		last = nil
+		if len(serving) == 1 {
+			last = serving[0]
+			polls++
+		}
+		return polls >= settledPolls
 	}, 10*time.Second, 20*time.Millisecond)
 }
+
+// serving returns the instances that serve the database, none before all have joined.
+func (f *fleet) serving() []*server.Server {
+	var serving []*server.Server
+	for _, s := range f.servers {
+		r := s.Report()
+		if len(r.Instances) != len(f.servers) {
+			return nil
+		}
+		for _, d := range r.Databases {
+			if d.Phase == "serving" {
+				serving = append(serving, s)
+			}
+		}
+	}
+	return serving
+}
