fix: a message of twelve bytes is not taken for a header

Cause: the connection holds back a header that is followed by more; a body of twelve bytes that looked like one was held until the next write on the session.

--- a/io/peers/conn.go
+++ b/io/peers/conn.go
@@ -26,6 +26,8 @@
 	net.Conn
 	counters *Counters
 	pending  []byte
+	// bodyNext tells that the last header held back announced a body, which the next write is.
+	bodyNext bool
 	opened   time.Time
 	// heard is the time from the opening to the last byte received.
 	heard atomic.Int64
@@ -40,10 +42,12 @@
 
 // Write holds back a header that is always followed by more and sends everything else; yamux writes from one goroutine.
 func (c *conn) Write(data []byte) (int, error) {
-	if isLeading(data) && len(c.pending) < maxHeldHeaderBytes {
+	if !c.bodyNext && isLeading(data) && len(c.pending) < maxHeldHeaderBytes {
 		c.pending = append(c.pending, data...)
+		c.bodyNext = data[muxTypeOffset] == muxTypeData
 		return len(data), nil
 	}
+	c.bodyNext = false
 	if len(c.pending) == 0 {
 		sent, err := c.Conn.Write(data)
 		c.counters.BytesSent.Add(uint64(sent))
