fix: one watch for silence asks a member at a time

Cause: every statement above a second opened a control connection each second, which together can pass what the group reserves for control. Also a name: nextFrame.

--- a/io/owner/block.go
+++ b/io/owner/block.go
@@ -44,7 +44,7 @@
 func (t *transaction) nextInBlock(ctx context.Context) (payload []byte, ended bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, idleTransactionLimit)
 	defer cancel()
-	return t.batch(ctx)
+	return t.nextFrame(ctx)
 }
 
 // blockBatch runs one batch of a block; done tells that the block has ended and the caller has its answer.
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -23,6 +23,9 @@
 	rates    *admit.Rates
 	budget   *retry.Budget
 
+	// checking lets one watch for silence at a time use a control connection.
+	checking sync.Mutex
+
 	stop context.CancelFunc
 	// duties are the goroutines that Close waits for.
 	duties   sync.WaitGroup
--- a/io/owner/primary.go
+++ b/io/owner/primary.go
@@ -154,7 +154,7 @@
 // feed sends the rest of a batch whose first part ended with a flush.
 func (t *transaction) feed(ctx context.Context, c *pooled) {
 	for {
-		payload, ended, err := t.batch(ctx)
+		payload, ended, err := t.nextFrame(ctx)
 		if err != nil {
 			return
 		}
--- a/io/owner/silence.go
+++ b/io/owner/silence.go
@@ -50,7 +50,12 @@
 	if w.ended.Load() || w.progressed() {
 		return
 	}
+	if !w.owner.checking.TryLock() {
+		w.rearm()
+		return
+	}
 	working, err := w.owner.isWorking(w.member, w.conn.PID())
+	w.owner.checking.Unlock()
 	if w.ended.Load() || w.progressed() {
 		return
 	}
--- a/io/owner/transaction.go
+++ b/io/owner/transaction.go
@@ -115,8 +115,8 @@
 	t.running = c
 }
 
-// batch collects the caller's frames up to the end of a batch or a flush.
-func (t *transaction) batch(ctx context.Context) (payload []byte, ended bool, err error) {
+// nextFrame returns the caller's next frame; ended tells that it completes a batch.
+func (t *transaction) nextFrame(ctx context.Context) (payload []byte, ended bool, err error) {
 	select {
 	case f, ok := <-t.frames:
 		if !ok {
@@ -129,7 +129,7 @@
 }
 
 func (t *transaction) run(ctx context.Context) error {
-	payload, ended, err := t.batch(ctx)
+	payload, ended, err := t.nextFrame(ctx)
 	if err != nil {
 		return err
 	}
