--- a/io/server/path_test.go
+++ b/io/server/path_test.go
@@ -95,3 +95,15 @@
 	}
 	return steps
 }
+
+// TestInstanceWithoutDocumentsRefusesAsNotReady connects to an instance that has never heard the store or a peer.
+func TestInstanceWithoutDocumentsRefusesAsNotReady(t *testing.T) {
+	s, err := server.New(server.Settings{
+		ID: "alone", Region: "slo-central", DataCentre: "slo-a", Platform: "http://" + freeAddress(t),
+		CallersAddress: "127.0.0.1:0", PeersAddress: freeAddress(t), HTTPAddress: "127.0.0.1:0",
+	})
+	require.NoError(t, err)
+	defer s.Close()
+	_, err = pgx.Connect(t.Context(), "postgres://sencnik@"+s.CallersAddress()+"/orders-0?sslmode=disable")
+	requireState(t, err, "57P03")
+}
