fix: a database is released only to the instance that should own it

Cause: the request to release carried no membership, so an instance with an old or a wrong view made the rightful owner give up. Ruled out: refusing all but newer memberships, since after a takeover both sides know the same one.

--- a/io/server/owners.go
+++ b/io/server/owners.go
@@ -93,7 +93,7 @@
 
 // serve runs a transaction, or refuses it when another instance should.
 func (m *owners) serve(ctx context.Context, begin *wire.Begin, s owner.Stream) {
-	if begin.GetRelease() {
+	if begin.GetRelease() != nil {
 		m.answerRelease(ctx, begin, s)
 		return
 	}
--- a/io/server/release.go
+++ b/io/server/release.go
@@ -50,7 +50,13 @@
 // requestRelease asks one instance; the handover is zero when there was nothing to hand over.
 func (m *owners) requestRelease(ctx context.Context, id types.InstanceID, database types.DatabaseID) owner.Handover {
 	sentAt := time.Now()
-	s, err := m.network.Open(ctx, id, &wire.Begin{RequestId: 1, Database: string(database), Release: true})
+	s, err := m.network.Open(ctx, id, &wire.Begin{
+		RequestId: 1,
+		Database:  string(database),
+		Release: &wire.Release{
+			Instance: string(m.self), MembershipRevision: uint64(m.network.Membership().Revision),
+		},
+	})
 	if err != nil {
 		return owner.Handover{}
 	}
@@ -73,17 +79,31 @@
 // answerRelease hands a database over. Only the first one who asks gets the rest of the lease.
 func (m *owners) answerRelease(ctx context.Context, begin *wire.Begin, s owner.Stream) {
 	database := types.DatabaseID(begin.GetDatabase())
-	m.release(ctx, database)
-	m.mu.Lock()
-	h := m.released[database]
-	delete(m.released, database)
-	m.mu.Unlock()
+	var h owner.Handover
+	if m.mayRelease(database, begin.GetRelease()) {
+		m.release(ctx, database)
+		m.mu.Lock()
+		h = m.released[database]
+		delete(m.released, database)
+		m.mu.Unlock()
+	}
 	_ = s.Send(&wire.Frame{RequestId: begin.GetRequestId(), Outcome: &wire.Outcome{Handover: &wire.Handover{
 		Epoch:   uint64(h.Epoch),
 		LeaseMs: uint32(max(time.Until(h.Until).Milliseconds(), 0)),
 	}}})
 }
 
+// mayRelease reports whether the instance that asks should own the database: by a newer membership than the one known
+// here, or by the same one as this instance understands it.
+func (m *owners) mayRelease(id types.DatabaseID, r *wire.Release) bool {
+	members := m.network.Membership()
+	if asked := types.Revision(r.GetMembershipRevision()); asked != members.Revision {
+		return asked > members.Revision
+	}
+	_, database, ok := m.network.Book().Database(id)
+	return !ok || m.entitler.decide(database).expected == types.InstanceID(r.GetInstance())
+}
+
 // release gives up a database after its transactions in flight.
 func (m *owners) release(ctx context.Context, database types.DatabaseID) {
 	m.mu.Lock()
