fix: an attempt at a replica that is promoted meanwhile is neither answered nor repeated

Cause: BEGIN READ WRITE in a batch overrides the setting that keeps a replica's connection from writing; if the replica was promoted while the batch ran there, the write was acknowledged without a majority, or sent again when the answer was lost. Ruled out: asking the member for its role afterwards, which may have changed twice. Change: the owner counts its promotions of each member before the call; an attempt that began under another count ends as unknown.

--- a/io/owner/block.go
+++ b/io/owner/block.go
@@ -70,7 +70,7 @@
 	}
 	position := g.conn.Position()
 	g.release(true)
-	_, err = t.answerFromReplica(replica{target: g.target}, 0, position, a)
+	_, err = t.answerFromReplica(g.chosen, 0, position, a)
 	return true, err
 }
 
--- a/io/owner/primary.go
+++ b/io/owner/primary.go
@@ -22,8 +22,9 @@
 	pool   *pool
 	target types.TargetID
 	term   types.Term
-	// readOnly tells that the target is used as a replica.
+	// readOnly tells that the target is used as a replica, the one that was chosen.
 	readOnly bool
+	chosen   replica
 }
 
 func (g grant) release(clean bool) { g.pool.put(g.conn, clean) }
--- a/io/owner/promote.go
+++ b/io/owner/promote.go
@@ -39,6 +39,7 @@
 }
 
 func (o *Owner) promoteWinner(ctx context.Context, winner types.TargetID, term types.Term, fenced []quorum.Status) {
+	o.state.notePromotion(winner)
 	observed, err := o.callMember(ctx, winner, func(c *control) (quorum.Observation, error) {
 		return c.promote(o.settings.Epoch, term)
 	})
--- a/io/owner/replica.go
+++ b/io/owner/replica.go
@@ -101,7 +101,7 @@
 		return tryPrimary, nil
 	case a.status != pgcli.StatusIdle && t.begin.GetReadOnly():
 		_, term := t.owner.state.primaryAndTerm()
-		return answered, t.continueBlock(ctx, grant{conn: c, pool: p, target: r.target, term: term, readOnly: true}, true, &a)
+		return answered, t.continueBlock(ctx, grant{conn: c, pool: p, target: r.target, term: term, readOnly: true, chosen: r}, true, &a)
 	case a.status != pgcli.StatusIdle:
 		p.put(c, false)
 		t.owner.settings.Writes.Learn(t.begin.GetStatementHash())
@@ -114,6 +114,8 @@
 
 func (t *transaction) answerFromReplica(r replica, floor, position types.Position, a *answer) (attempt, error) {
 	switch {
+	case t.owner.state.promotedSince(r):
+		return answered, errPromotedMeanwhile()
 	case position < floor && !t.relayed:
 		return tryAnother, nil
 	case position < floor, !t.owner.state.leaseHolds():
@@ -132,6 +134,8 @@
 		return answered, errCallerGone
 	case ctx.Err() != nil:
 		return answered, notRunTimeout()
+	case t.owner.state.promotedSince(r):
+		return answered, errPromotedMeanwhile()
 	case t.relayed:
 		return answered, fault.New(fault.LeaseLost, "the replica stopped in the middle of its answer")
 	default:
@@ -139,6 +143,12 @@
 	}
 }
 
+// errPromotedMeanwhile reports an attempt at a replica that became primary before the attempt ended, so that a batch which
+// insists on writing may have written.
+func errPromotedMeanwhile() *fault.Fault {
+	return fault.New(fault.OutcomeUnknown, "the replica became primary while the request ran there")
+}
+
 func notRunTimeout() *fault.Fault {
 	f := fault.New(fault.StatementTimeout, "the read took longer than its time")
 	f.Outcome = fault.NotRun
--- a/io/owner/state.go
+++ b/io/owner/state.go
@@ -25,6 +25,8 @@
 	observations map[types.TargetID]quorum.Observation
 	down         map[types.TargetID]time.Time
 	claims       []quorum.Status
+	// promotions counts how often this owner asked each member to become primary.
+	promotions   map[types.TargetID]int
 	serveAfter   time.Time
 	highestEpoch types.Epoch
 	waiters      map[*commitWaiter]struct{}
@@ -38,6 +40,7 @@
 		highestEpoch: epoch,
 		observations: map[types.TargetID]quorum.Observation{},
 		down:         map[types.TargetID]time.Time{},
+		promotions:   map[types.TargetID]int{},
 		waiters:      map[*commitWaiter]struct{}{},
 		changed:      make(chan struct{}),
 	}
--- a/io/owner/stateview.go
+++ b/io/owner/stateview.go
@@ -40,6 +40,20 @@
 	return s.highestEpoch
 }
 
+// notePromotion records, before the call, that a member is asked to become primary.
+func (s *state) notePromotion(target types.TargetID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.promotions[target]++
+}
+
+// promotedSince reports whether a member may have been primary at some time since it was chosen as a replica.
+func (s *state) promotedSince(r replica) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.promotions[r.target] != r.promotions
+}
+
 // sincePrimary returns the time since the present or last primary was asked for an answer that it gave.
 func (s *state) sincePrimary(now time.Time) time.Duration {
 	s.mu.Lock()
@@ -66,6 +80,8 @@
 type replica struct {
 	target  types.TargetID
 	applied types.Position
+	// promotions is how often the member had been asked to become primary when it was chosen.
+	promotions int
 }
 
 // replicas returns the members that may answer a read of the given age; none without a lease. They may do so while a
@@ -82,7 +98,7 @@
 			continue
 		}
 		if age, ok := s.ages.Age(o.Applied, now); ok && age <= maxAge {
-			found = append(found, replica{target: o.Target, applied: o.Applied})
+			found = append(found, replica{target: o.Target, applied: o.Applied, promotions: s.promotions[o.Target]})
 		}
 	}
 	return found
--- a/io/server/confirm_test.go
+++ b/io/server/confirm_test.go
@@ -171,3 +171,38 @@
 	require.Less(t, time.Since(began), 4*time.Second)
 	require.Equal(t, f.members[1].Status().Target, f.report(t).Primary)
 }
+
+// TestBatchAtAReplicaThatIsPromotedMeanwhile runs a batch that insists on writing at a replica while the primary dies: it is
+// not acknowledged without a majority.
+func TestBatchAtAReplicaThatIsPromotedMeanwhile(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, 1, func(s *fakedb.Settings) {
+		s.ReceiveLag = 5 * time.Second
+		s.StatementTime = 600 * time.Millisecond
+	})
+	f.connect(t, 0, "probe")
+	f.waitForOwner(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	answers := make(chan error, 2)
+	for _, key := range []string{"k1", "k2"} {
+		c := f.connect(t, 0, key)
+		go func() {
+			sql := "SELECT count(*) FROM orders; BEGIN READ WRITE; INSERT INTO orders (key, value) VALUES ('" + key + "', 'x'); COMMIT"
+			_, err := c.Exec(ctx, sql, pgx.QueryExecModeSimpleProtocol)
+			answers <- err
+		}()
+	}
+	time.Sleep(300 * time.Millisecond)
+	require.NoError(t, f.members[0].Close())
+	for range 2 {
+		if err := <-answers; err == nil {
+			committed := false
+			for _, m := range f.members[1:] {
+				s := m.Status()
+				committed = committed || (s.Role == fakedb.Primary && s.Committed >= 2)
+			}
+			require.True(t, committed, "a write was acknowledged without a majority")
+		}
+	}
+}
