--- a/io/server/confirm_test.go
+++ b/io/server/confirm_test.go
@@ -27,6 +27,20 @@
 // neverReplicated keeps every write from reaching a majority.
 func neverReplicated(s *fakedb.Settings) { s.ReceiveLag = time.Hour }
 
+// requireMajority checks, when a write at the successor of the first member was acknowledged, that a majority holds it.
+func (f *fleet) requireMajority(t *testing.T, answer error) {
+	t.Helper()
+	if answer != nil {
+		return
+	}
+	committed := false
+	for _, m := range f.members[1:] {
+		s := m.Status()
+		committed = committed || (s.Role == fakedb.Primary && s.Committed >= 2)
+	}
+	require.True(t, committed, "a write was acknowledged without a majority")
+}
+
 // TestNothingIsAcknowledgedWithoutMajority commits in several ways on a primary whose replicas receive nothing: each
 // answer is that the outcome is unknown.
 func TestNothingIsAcknowledgedWithoutMajority(t *testing.T) {
@@ -107,16 +121,8 @@
 	}
 	time.Sleep(100 * time.Millisecond)
 	require.NoError(t, f.members[0].Close())
-	for range 2 {
-		if err := <-answers; err == nil {
-			committed := false
-			for _, m := range f.members[1:] {
-				s := m.Status()
-				committed = committed || (s.Role == fakedb.Primary && s.Committed >= 2)
-			}
-			require.True(t, committed, "a write was acknowledged without a majority")
-		}
-	}
+	f.requireMajority(t, <-answers)
+	f.requireMajority(t, <-answers)
 	<-busy
 	<-busy
 }
@@ -195,14 +201,6 @@
 	}
 	time.Sleep(300 * time.Millisecond)
 	require.NoError(t, f.members[0].Close())
-	for range 2 {
-		if err := <-answers; err == nil {
-			committed := false
-			for _, m := range f.members[1:] {
-				s := m.Status()
-				committed = committed || (s.Role == fakedb.Primary && s.Committed >= 2)
-			}
-			require.True(t, committed, "a write was acknowledged without a majority")
-		}
-	}
+	f.requireMajority(t, <-answers)
+	f.requireMajority(t, <-answers)
 }
