--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -42,7 +42,7 @@
 		g.mu.Unlock()
 		return fault.New(fault.QueueFull, fmt.Sprintf("customer %s has %d requests waiting for one target", customer, limits.QueueLength))
 	}
-	w := &waiter{granted: make(chan struct{}), since: time.Now()}
+	w := &waiter{granted: make(chan struct{})}
 	q.waiting = append(q.waiting, w)
 	g.mu.Unlock()
 	return g.wait(ctx, q, w, limits.QueueTimeout)
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -1,10 +1,6 @@
 package admit
 
-import (
-	"time"
-
-	"turmericpulley/core/types"
-)
+import "turmericpulley/core/types"
 
 // queue is the state of one customer at one gate.
 type queue struct {
@@ -18,7 +14,6 @@
 
 type waiter struct {
 	granted chan struct{}
-	since   time.Time
 	done    bool
 }
 
--- a/io/owner/block.go
+++ b/io/owner/block.go
@@ -14,7 +14,7 @@
 
 // continueBlock keeps a connection for the batches of a transaction block until the block ends. The grant's term stays
 // the one under which the block began, so that a primary replaced meanwhile cannot have the block confirmed.
-func (t *transaction) continueBlock(ctx context.Context, g grant, onReplica bool, a *answer) error {
+func (t *transaction) continueBlock(ctx context.Context, g grant, a *answer) error {
 	streamContext := context.WithoutCancel(ctx)
 	for {
 		if !t.owner.state.leaseHolds() {
@@ -34,7 +34,7 @@
 			g.release(false)
 			return err
 		}
-		done, err := t.blockBatch(streamContext, g, payload, ended, onReplica, a)
+		done, err := t.blockBatch(streamContext, g, payload, ended, a)
 		if done || err != nil {
 			return err
 		}
@@ -49,11 +49,11 @@
 
 // blockBatch runs one batch of a block; done tells that the block has ended and the caller has its answer.
 func (t *transaction) blockBatch(
-	ctx context.Context, g grant, payload []byte, ended, onReplica bool, a *answer,
+	ctx context.Context, g grant, payload []byte, ended bool, a *answer,
 ) (done bool, err error) {
 	ctx, cancel := t.batchContext(ctx)
 	defer cancel()
-	if !onReplica && !g.conn.Quiet() {
+	if !g.readOnly && !g.conn.Quiet() {
 		g.release(false)
 		return true, errBlockLost()
 	}
@@ -65,7 +65,7 @@
 	if a.status != pgcli.StatusIdle {
 		return false, nil
 	}
-	if !onReplica {
+	if !g.readOnly {
 		return true, t.confirm(ctx, g, a)
 	}
 	position := g.conn.Position()
--- a/io/owner/keyed.go
+++ b/io/owner/keyed.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/binary"
 
+	"github.com/jackc/pgx/v5/pgproto3"
+
 	"turmericpulley/core/fault"
 	"turmericpulley/core/trace"
 	"turmericpulley/io/pgcli"
@@ -56,7 +58,7 @@
 
 // keyedBlock goes on with a transaction block of the caller's, which commits the record with its own work.
 func (t *transaction) keyedBlock(ctx context.Context, g grant, a *answer) error {
-	return t.continueBlock(ctx, g, false, a)
+	return t.continueBlock(ctx, g, a)
 }
 
 // refuseKeyed gives up before the request itself was sent, such as when another run of it holds the record.
@@ -159,23 +161,23 @@
 		}
 		switch payload[0] {
 		case 'P':
-			out = appendMessage(out, '1', nil)
+			out = encode(out, &pgproto3.ParseComplete{})
 		case 'B':
-			out = appendMessage(out, '2', nil)
+			out = encode(out, &pgproto3.BindComplete{})
 		case 'C':
-			out = appendMessage(out, '3', nil)
+			out = encode(out, &pgproto3.CloseComplete{})
 		case 'D':
 			if payload[pgHeaderBytes] == 'S' {
-				out = appendMessage(out, 't', []byte{0, 0})
+				out = encode(out, &pgproto3.ParameterDescription{})
 			}
-			out = appendMessage(out, 'n', nil)
+			out = encode(out, &pgproto3.NoData{})
 		case 'E':
-			out = appendMessage(out, pgcli.TypeCommandComplete, append([]byte(tag), 0))
+			out = encode(out, &pgproto3.CommandComplete{CommandTag: []byte(tag)})
 		case 'Q':
-			out = appendMessage(out, pgcli.TypeCommandComplete, append([]byte(tag), 0))
-			out = appendMessage(out, pgcli.TypeReadyForQuery, []byte{pgcli.StatusIdle})
+			out = encode(out, &pgproto3.CommandComplete{CommandTag: []byte(tag)})
+			out = encode(out, &pgproto3.ReadyForQuery{TxStatus: pgcli.StatusIdle})
 		case 'S':
-			out = appendMessage(out, pgcli.TypeReadyForQuery, []byte{pgcli.StatusIdle})
+			out = encode(out, &pgproto3.ReadyForQuery{TxStatus: pgcli.StatusIdle})
 		}
 		payload = payload[length:]
 	}
@@ -184,8 +186,11 @@
 
 const pgHeaderBytes = 5
 
-func appendMessage(out []byte, kind byte, body []byte) []byte {
-	out = append(out, kind)
-	out = binary.BigEndian.AppendUint32(out, uint32(len(body)+pgHeaderBytes-1))
-	return append(out, body...)
+// encode appends a message; those that are built here are far below the size that the library refuses.
+func encode(out []byte, m pgproto3.BackendMessage) []byte {
+	encoded, err := m.Encode(out)
+	if err != nil {
+		return out
+	}
+	return encoded
 }
--- a/io/owner/primary.go
+++ b/io/owner/primary.go
@@ -55,7 +55,7 @@
 		if a.status == pgcli.StatusIdle {
 			return t.confirm(ctx, g, &a)
 		}
-		return t.continueBlock(ctx, g, false, &a)
+		return t.continueBlock(ctx, g, &a)
 	}
 }
 
--- a/io/owner/replica.go
+++ b/io/owner/replica.go
@@ -101,7 +101,7 @@
 		return tryPrimary, nil
 	case a.status != pgcli.StatusIdle && t.begin.GetReadOnly():
 		_, term := t.owner.state.primaryAndTerm()
-		return answered, t.continueBlock(ctx, grant{conn: c, pool: p, target: r.target, term: term, readOnly: true, chosen: r}, true, &a)
+		return answered, t.continueBlock(ctx, grant{conn: c, pool: p, target: r.target, term: term, readOnly: true, chosen: r}, &a)
 	case a.status != pgcli.StatusIdle:
 		p.put(c, false)
 		t.owner.settings.Writes.Learn(t.begin.GetStatementHash())
--- a/io/pgcli/message.go
+++ b/io/pgcli/message.go
@@ -2,7 +2,6 @@
 
 // Types of messages that a target sends.
 const (
-	TypeBindComplete     byte = '2'
 	TypeCommandComplete  byte = 'C'
 	TypeDataRow          byte = 'D'
 	TypeEmptyQuery       byte = 'I'
@@ -18,7 +17,6 @@
 	authenticationOK          = 0
 	cancelRequestBytes        = 16
 	cancelRequestCode         = 80877102
-	readyForQueryPayload      = 1
 	backendKeyDataLength      = 8
 	authenticationLength      = 4
 	parameterStatusParts      = 2
@@ -30,7 +28,6 @@
 const (
 	StatusIdle          byte = 'I'
 	StatusInTransaction byte = 'T'
-	StatusFailed        byte = 'E'
 )
 
 // Message is one message of a target, valid until the next read.
--- a/io/pgcli/serror.go
+++ b/io/pgcli/serror.go
@@ -1,16 +1,10 @@
 package pgcli
 
 import (
-	"bytes"
-
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
 )
 
-const (
-	fieldSQLState = 'C'
-	fieldMessage  = 'M'
-)
-
 // ServerError is an error that a target reported.
 type ServerError struct {
 	SQLState string
@@ -20,25 +14,13 @@
 // Error returns the target's message and its SQLSTATE.
 func (e *ServerError) Error() string { return e.Message + " (SQLSTATE " + e.SQLState + ")" }
 
-// ParseError reads the body of an ErrorResponse.
+// ParseError reads the body of an ErrorResponse; what cannot be read of it stays empty.
 func ParseError(body []byte) *ServerError {
-	e := &ServerError{}
-	for len(body) > 1 {
-		field := body[0]
-		end := bytes.IndexByte(body[1:], 0)
-		if end < 0 {
-			break
-		}
-		value := string(body[1 : 1+end])
-		switch field {
-		case fieldSQLState:
-			e.SQLState = value
-		case fieldMessage:
-			e.Message = value
-		}
-		body = body[end+2:]
+	var response pgproto3.ErrorResponse
+	if err := response.Decode(body); err != nil {
+		return &ServerError{}
 	}
-	return e
+	return &ServerError{SQLState: response.Code, Message: response.Message}
 }
 
 // SQLState returns the SQLSTATE of a target's error inside err, or an empty string.
--- a/io/pgsrv/server.go
+++ b/io/pgsrv/server.go
@@ -173,32 +173,15 @@
 
 // authorize checks what the customer may reach.
 func (s *Server) authorize(customer types.CustomerID, database types.DatabaseID) (policy.Contract, types.Revision, *fault.Fault) {
-	contract, revision, f := s.lookUp(customer, database)
+	g, f := policy.Govern(s.settings.Book, customer, database)
 	if f == nil {
-		return contract, revision, nil
+		return g.Contract, g.Revision, nil
 	}
 	// An instance that has just started may lack documents that exist.
 	if err := s.settings.Gate.Fresh(); err != nil {
 		f = asFault(err, fault.Isolated)
 	}
-	return contract, revision, f
-}
-
-// lookUp finds the customer's contract and checks that it allows the database.
-func (s *Server) lookUp(customer types.CustomerID, database types.DatabaseID) (policy.Contract, types.Revision, *fault.Fault) {
-	contract, revision, ok := s.settings.Book.Contract(customer)
-	if !ok {
-		return contract, 0, fault.New(fault.UnknownCustomer, "customer "+string(customer)+" has no contract")
-	}
-	group, _, ok := s.settings.Book.Database(database)
-	if !ok {
-		return contract, 0, fault.New(fault.UnknownDatabase, "no group holds database "+string(database))
-	}
-	if !contract.Reaches(group.Group) {
-		detail := "the contract of customer " + string(customer) + " does not reach group " + string(group.Group)
-		return contract, 0, fault.New(fault.GroupForbidden, detail)
-	}
-	return contract, revision, nil
+	return policy.Contract{}, 0, f
 }
 
 // count counts an error that a caller is told.
--- a/io/pgsrv/settings.go
+++ b/io/pgsrv/settings.go
@@ -5,6 +5,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"turmericpulley/core/policy"
 	"turmericpulley/core/types"
 )
 
@@ -28,7 +29,7 @@
 	// InstanceID names the instance in the keys for cancel requests.
 	InstanceID types.InstanceID
 	Router     Router
-	Book       Book
+	Book       policy.Book
 	Gate       Gate
 	Logger     hclog.Logger
 	// Observe is called once for each finished transaction when not nil; it must not block.
--- a/io/server/owners.go
+++ b/io/server/owners.go
@@ -26,18 +26,10 @@
 
 // owners holds the databases that this instance owns; it is safe for concurrent use.
 type owners struct {
-	self     types.InstanceID
-	region   types.Region
-	network  network
+	ownersSettings
 	entitler *entitler
 	writes   *class.Writes
-	counters *owner.Counters
-	recorder *trace.Recorder
-	resolve  func(string) string
 	leaving  *leaving
-	promoted func(time.Duration)
-	queued   func(types.CustomerID, time.Duration)
-	logger   hclog.Logger
 
 	// running ends when the instance closes.
 	running context.Context
@@ -69,22 +61,14 @@
 func newOwners(s ownersSettings) *owners {
 	running, stop := context.WithCancel(context.Background())
 	m := &owners{
-		self:     s.self,
-		region:   s.region,
-		network:  s.network,
-		entitler: newEntitler(s.network),
-		writes:   class.NewWrites(),
-		counters: s.counters,
-		recorder: s.recorder,
-		resolve:  s.resolve,
-		leaving:  newLeaving(s.list, s.network),
-		promoted: s.promoted,
-		queued:   s.queued,
-		logger:   s.logger,
-		running:  running,
-		stop:     stop,
-		held:     map[types.DatabaseID]*holding{},
-		released: map[types.DatabaseID]owner.Handover{},
+		ownersSettings: s,
+		entitler:       newEntitler(s.network),
+		writes:         class.NewWrites(),
+		leaving:        newLeaving(s.list, s.network),
+		running:        running,
+		stop:           stop,
+		held:           map[types.DatabaseID]*holding{},
+		released:       map[types.DatabaseID]owner.Handover{},
 	}
 	m.duties.Go(func() { m.reconcileOnChange(running, s.changes) })
 	m.duties.Go(func() { m.leaving.poll(running) })
@@ -116,35 +100,22 @@
 	return group.Region == "" || group.Region == m.region
 }
 
-// governing is what the operators' documents say about a transaction.
-type governing struct {
-	contract policy.Contract
-	group    policy.Group
-	database policy.Database
-}
-
 // documents returns what governs a transaction; the error says why it must not run.
-func (m *owners) documents(begin *wire.Begin) (governing, error) {
+func (m *owners) documents(begin *wire.Begin) (policy.Governing, error) {
 	if err := m.network.Fresh(); err != nil {
-		return governing{}, err
+		return policy.Governing{}, err
 	}
-	book := m.network.Book()
-	customer := types.CustomerID(begin.GetCustomer())
-	contract, _, ok := book.Contract(customer)
-	if !ok {
-		return governing{}, fault.New(fault.UnknownCustomer, "customer "+string(customer)+" has no contract")
+	g, f := policy.Govern(
+		m.network.Book(), types.CustomerID(begin.GetCustomer()), types.DatabaseID(begin.GetDatabase()),
+	)
+	if f != nil {
+		return policy.Governing{}, f
 	}
-	group, database, ok := book.Database(types.DatabaseID(begin.GetDatabase()))
-	if !ok {
-		return governing{}, fault.New(fault.UnknownDatabase, "no group holds database "+begin.GetDatabase())
+	if !m.ownedHere(g.Group) {
+		detail := "group " + string(g.Group.Group) + " is served in region " + string(g.Group.Region)
+		return policy.Governing{}, fault.New(fault.UnknownDatabase, detail)
 	}
-	if !m.ownedHere(group) {
-		return governing{}, fault.New(fault.UnknownDatabase, "group "+string(group.Group)+" is served in region "+string(group.Region))
-	}
-	if !contract.Reaches(group.Group) {
-		return governing{}, fault.New(fault.GroupForbidden, "the contract does not reach group "+string(group.Group))
-	}
-	return governing{contract: contract.WithDefaults(), group: group, database: database}, nil
+	return g, nil
 }
 
 // admit checks a transaction against the documents and returns the owner that runs it.
@@ -153,11 +124,11 @@
 	if err != nil {
 		return policy.Contract{}, nil, "", err
 	}
-	o, redirect := m.find(ctx, g.group, g.database)
+	o, redirect := m.find(ctx, g.Group, g.Database)
 	if o == nil {
 		return policy.Contract{}, nil, redirect, fault.New(fault.NoOwner, "instance "+string(m.self)+" does not own the database")
 	}
-	return g.contract, o, "", nil
+	return g.Contract.WithDefaults(), o, "", nil
 }
 
 // find returns the owner of the database, taking it over when this instance should own it.
@@ -178,16 +149,6 @@
 	return nil, ""
 }
 
-// await returns the owner once it is set, or nil when the context ends first.
-func (h *holding) await(ctx context.Context) *owner.Owner {
-	select {
-	case <-h.ready:
-		return h.owner
-	case <-ctx.Done():
-		return nil
-	}
-}
-
 // holding returns what is held of the database; a holding that was lost is forgotten.
 func (m *owners) holding(database types.DatabaseID) *holding {
 	m.mu.Lock()
@@ -196,23 +157,23 @@
 	if !ok {
 		return nil
 	}
-	select {
-	case <-h.ready:
-	default:
+	o := h.started()
+	if o == nil {
+		return h
+	}
+	isLost, epoch := o.Lost()
+	if !isLost {
 		return h
 	}
-	if isLost, epoch := h.owner.Lost(); isLost {
-		if m.stopping {
-			return nil
-		}
-		delete(m.held, database)
-		if epoch > h.owner.Epoch() {
-			m.entitler.lostTo(database, epoch)
-		}
-		m.duties.Go(h.owner.Close)
+	if m.stopping {
 		return nil
 	}
-	return h
+	delete(m.held, database)
+	if epoch > o.Epoch() {
+		m.entitler.lostTo(database, epoch)
+	}
+	m.duties.Go(o.Close)
+	return nil
 }
 
 // take starts to own a database.
--- a/io/server/reconcile.go
+++ b/io/server/reconcile.go
@@ -65,22 +65,12 @@
 	if h == nil {
 		return false
 	}
-	select {
-	case <-h.ready:
-		return !h.owner.Describes(group, database)
-	default:
-		return false
-	}
+	o := h.started()
+	return o != nil && !o.Describes(group, database)
 }
 
 // outdated reports whether a database is held under an older membership than the present one.
 func (m *owners) outdated(h *holding, x entitlement) bool {
-	select {
-	case <-h.ready:
-		return x.expected != "" && ownedUnder(h) < x.revision
-	default:
-		return false
-	}
+	o := h.started()
+	return o != nil && x.expected != "" && quorum.EpochRevision(o.Epoch()) < x.revision
 }
-
-func ownedUnder(h *holding) types.Revision { return quorum.EpochRevision(h.owner.Epoch()) }
--- a/io/server/release.go
+++ b/io/server/release.go
@@ -61,9 +61,6 @@
 		return owner.Handover{}
 	}
 	defer func() { _ = s.Close() }()
-	if deadline, ok := ctx.Deadline(); ok {
-		_ = s.SetDeadline(deadline)
-	}
 	defer context.AfterFunc(ctx, func() { _ = s.Close() })()
 	f, err := s.Receive()
 	h := f.GetOutcome().GetHandover()
--- a/io/server/report.go
+++ b/io/server/report.go
@@ -67,10 +67,8 @@
 	m.mu.Unlock()
 	reports := make([]owner.Report, 0, len(held))
 	for _, h := range held {
-		select {
-		case <-h.ready:
-			reports = append(reports, h.owner.Report())
-		default:
+		if o := h.started(); o != nil {
+			reports = append(reports, o.Report())
 		}
 	}
 	slices.SortFunc(reports, func(a, b owner.Report) int { return strings.Compare(string(a.Database), string(b.Database)) })
