--- /dev/null
+++ b/cmd/instance.go
@@ -0,0 +1,132 @@
+package cmd
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"turmericpulley/core/clock"
+	"turmericpulley/core/fleet"
+	"turmericpulley/io/front"
+	"turmericpulley/io/logs"
+	"turmericpulley/io/node"
+	"turmericpulley/platform"
+)
+
+const (
+	// memoryShare is the part of the instance's limit at which the garbage collector works harder.
+	memoryShare = 0.6
+	// platformSessions is the most callers of an instance; machines of the platform have 4,200 descriptors.
+	platformSessions = 3000
+	// reloadInterval is the time between two looks at the settings file.
+	reloadInterval = 2 * time.Second
+)
+
+// instanceCommand runs an instance on the users' platform.
+type instanceCommand struct {
+	path     string
+	logLevel string
+	check    bool
+}
+
+func newInstanceCommand(app *kingpin.Application, commands map[string]command) {
+	c := &instanceCommand{}
+	clause := app.Command("instance", "Run an instance on the users' platform, with the settings that the platform gives.")
+	clause.Flag("settings", "Path of the settings file; the platform names it in the environment.").
+		Default(platform.SettingsPath()).StringVar(&c.path)
+	clause.Flag("log-level", "Lowest level of log lines.").Default("info").EnumVar(&c.logLevel, "debug", "info", "warn", "error")
+	clause.Flag("check", "Only check the settings.").BoolVar(&c.check)
+	commands[clause.FullCommand()] = c
+}
+
+func (c *instanceCommand) run(out, problems io.Writer) int {
+	settings, err := platform.ReadSettings(c.path)
+	if err != nil {
+		return fail(problems, err)
+	}
+	if c.check {
+		_, _ = fmt.Fprintln(out, "the settings can be used")
+		return exitOK
+	}
+	if settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory)))
+	}
+	lines := logs.New(out)
+	defer lines.Close()
+	logger := hclog.New(&hclog.LoggerOptions{
+		Level: hclog.LevelFromString(c.logLevel), Output: lines, JSONFormat: true,
+	}).With("instance", settings.Instance)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	n, err := startNode(settings, logger)
+	if err != nil {
+		logger.Error("instance not started", "error", err)
+		return exitFailed
+	}
+	c.wait(signals, logger, settings)
+	n.Stop()
+	return exitOK
+}
+
+// wait returns at the signal to stop; until then it notices changes of the settings file, with or without a signal.
+func (c *instanceCommand) wait(signals <-chan os.Signal, logger hclog.Logger, settings platform.Settings) {
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return
+			}
+		case <-ticker.C:
+		}
+		next, err := platform.ReadSettings(c.path)
+		switch {
+		case err != nil:
+			logger.Warn("settings not reloaded, the former ones stay in force", "error", err)
+		case !next.Equal(settings):
+			settings = next
+			logger.Info("settings changed; addresses take effect at the next start")
+		}
+	}
+}
+
+// startNode opens the listeners and starts the instance.
+func startNode(s platform.Settings, logger hclog.Logger) (*node.Node, error) {
+	listeners := make([]net.Listener, 0, 3)
+	for _, address := range []string{s.Peers, s.Ready, s.Callers} {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, errors.Wrap(err, "opening a listener")
+		}
+		listeners = append(listeners, l)
+	}
+	return node.New(node.Settings{
+		Self: fleet.Instance{
+			ID: s.Instance, PeerAddress: s.Peers, DataCentre: s.DataCentre, State: fleet.Live,
+			Incarnation: fleet.Incarnation(time.Now().UnixMilli()),
+		},
+		Peers: listeners[0], HTTP: listeners[1], Callers: listeners[2],
+		Seeds: s.Seeds,
+		Wrap:  func(c net.Conn) front.Caller { return platform.NewCallerConn(c) },
+		Store: func(relay node.Relay) node.Store {
+			return platform.NewStore(platform.NewDirectCaller(s.Store), relay)
+		},
+		Formats:        platform.Formats(),
+		Dialer:         platform.MemberDialer{Instance: s.Instance},
+		Promoter:       platform.Promoter{Address: s.Promotion, Instance: s.Instance},
+		Clock:          clock.Boot(),
+		Logger:         logger,
+		Grace:          s.Grace,
+		MaxConnections: platformSessions,
+	}), nil
+}
--- a/cmd/register.go
+++ b/cmd/register.go
@@ -5,6 +5,7 @@
 // register adds every command to the application; commands maps full names to what runs them.
 func register(app *kingpin.Application, commands map[string]command) {
 	newServeCommand(app, commands)
+	newInstanceCommand(app, commands)
 	newDemoCommand(app, commands)
 	newLoadCommand(app, commands)
 	newStandinCommands(app, commands)
--- /dev/null
+++ b/core/clock/boot_linux.go
@@ -0,0 +1,15 @@
+package clock
+
+import "golang.org/x/sys/unix"
+
+// Boot returns a clock that counts from the start of the machine, the time of suspensions included.
+func Boot() Clock {
+	fallback := Runtime()
+	return Clock{read: func() Moment {
+		var ts unix.Timespec
+		if unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts) != nil {
+			return fallback.read()
+		}
+		return Moment(ts.Nano())
+	}}
+}
--- a/core/fault/fault.go
+++ b/core/fault/fault.go
@@ -1,12 +1,24 @@
 package fault
 
-import "github.com/pkg/errors"
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
 
 // Fault is an error with a kind, an outcome and a remedy.
 type Fault struct {
 	Kind    Kind
 	Outcome Outcome
 	Detail  string
+	// RetryAfter is when a caller whose request has not run should come back; zero is unknown.
+	RetryAfter time.Duration
+}
+
+// After returns the fault with the time after which the caller should come back.
+func (f *Fault) After(span time.Duration) *Fault {
+	f.RetryAfter = max(span, 0)
+	return f
 }
 
 // New returns a fault of the kind with its usual outcome.
--- /dev/null
+++ b/core/place/ticket.go
@@ -0,0 +1,49 @@
+package place
+
+import "turmericpulley/core/clock"
+
+// ticket is a need that waits at the desk.
+type ticket struct {
+	need    Need
+	arrived clock.Moment
+	// done receives the grant, or the reason why there is none.
+	done chan verdict
+}
+
+// verdict ends the wait of a ticket.
+type verdict struct {
+	grant   *Grant
+	refusal error
+}
+
+// rank orders tickets; lower goes first.
+//
+// It answers more work than slots: statements of open transactions first, since they hold connections and perhaps
+// locks; then work that can still meet its objective, by priority and then by the time left; then work that is late
+// anyway, which must not make further work late.
+func (t *ticket) before(o *ticket, now clock.Moment) bool {
+	if a, b := t.band(now), o.band(now); a != b {
+		return a < b
+	}
+	if t.need.Priority != o.need.Priority {
+		return t.need.Priority < o.need.Priority
+	}
+	return t.need.Objective < o.need.Objective
+}
+
+const (
+	bandPinned = iota
+	bandTimely
+	bandLate
+)
+
+func (t *ticket) band(now clock.Moment) int {
+	switch {
+	case t.need.Pinned != "":
+		return bandPinned
+	case now < t.need.Objective:
+		return bandTimely
+	default:
+		return bandLate
+	}
+}
--- /dev/null
+++ b/core/routes/route.go
@@ -0,0 +1,37 @@
+package routes
+
+import (
+	"time"
+
+	"turmericpulley/core/types"
+)
+
+// Consistency says how old the data of a read may be.
+type Consistency int
+
+const (
+	// Primary reads show every acknowledged commit.
+	Primary Consistency = iota + 1
+	// Bounded reads may be older by the route's bound.
+	Bounded
+	// Own reads may be older by the route's bound but show the session's own commits.
+	Own
+)
+
+// Name is the database name by which callers ask for a route.
+type Name string
+
+// Route says how the sessions of one database name are served.
+type Route struct {
+	Name        Name
+	Database    types.DatabaseID
+	Consistency Consistency
+	// MaxAge bounds the age of data of Bounded and Own reads.
+	MaxAge time.Duration
+	// Timeout limits one statement.
+	Timeout time.Duration
+	// Objective is the time within which a whole operation should be answered.
+	Objective time.Duration
+	// Priority orders routes; zero is the most important.
+	Priority int
+}
--- /dev/null
+++ b/core/routes/table.go
@@ -0,0 +1,29 @@
+package routes
+
+import (
+	"time"
+
+	"turmericpulley/core/types"
+)
+
+// Version orders configurations; it only grows.
+type Version int64
+
+// Database is the configuration of one database.
+type Database struct {
+	ID types.DatabaseID
+	// MaxConnections is the most connections that each member takes from all callers together.
+	MaxConnections int
+	// SyncReplicas is the number of replicas that hold a commit before it is acknowledged.
+	SyncReplicas int
+}
+
+// Table is one version of the configuration; it is not changed after it was made.
+type Table struct {
+	Version Version
+	Routes  map[Name]Route
+	// Databases are all databases that may be reached.
+	Databases map[types.DatabaseID]Database
+	// IdleLimit is how long a transaction may stay idle before it may be ended; zero means no limit.
+	IdleLimit time.Duration
+}
--- /dev/null
+++ b/core/stmt/doc.go
@@ -0,0 +1,2 @@
+// Package stmt holds the statements of callers' sessions and their answers, apart from any wire format.
+package stmt
--- /dev/null
+++ b/core/stmt/state.go
@@ -0,0 +1,13 @@
+package stmt
+
+// State is the state of a session between statements.
+type State int
+
+const (
+	// Idle is outside of a transaction.
+	Idle State = iota
+	// Open is inside a transaction.
+	Open
+	// Broken is inside a transaction that failed and waits for its end.
+	Broken
+)
--- /dev/null
+++ b/core/stmt/statement.go
@@ -0,0 +1,33 @@
+package stmt
+
+import "turmericpulley/core/types"
+
+// Statement is one statement of a caller or of the proxy itself.
+type Statement struct {
+	// ID is the caller's id of the statement; empty for the proxy's own statements.
+	ID   string
+	Kind Kind
+	// Name is the name of a session value or of a prepared statement.
+	Name string
+	// Access and Shape describe a prepared statement.
+	Access Access
+	Shape  string
+	// Item is the item that is read or written.
+	Item string
+	// Data is what a write stores or the value that Set gives.
+	Data string
+	// After makes a member refuse a read or a begin unless its log holds the position; zero asks for nothing.
+	After types.LogPosition
+	// Term belongs to Pause and StepDown.
+	Term types.Term
+}
+
+// Writes reports whether the statement changes data when it runs by itself.
+func (s Statement) Writes() bool {
+	return s.Kind == Write || s.Kind == Execute && s.Access == Writes
+}
+
+// Reads reports whether the statement reads data and changes nothing.
+func (s Statement) Reads() bool {
+	return s.Kind == Read || s.Kind == Execute && s.Access == Reads
+}
--- /dev/null
+++ b/core/types/logposition.go
@@ -0,0 +1,28 @@
+package types
+
+import "cmp"
+
+// LogPosition is a place in the log of a database together with the term that wrote it; the zero value precedes all.
+type LogPosition struct {
+	Term   Term
+	Number Position
+}
+
+// Compare orders positions by term and then by number; it returns -1, 0 or 1.
+func (p LogPosition) Compare(other LogPosition) int {
+	return cmp.Or(cmp.Compare(p.Term, other.Term), cmp.Compare(p.Number, other.Number))
+}
+
+// Before reports whether the position precedes the other.
+func (p LogPosition) Before(other LogPosition) bool { return p.Compare(other) < 0 }
+
+// Max returns the later of two positions.
+func (p LogPosition) Max(other LogPosition) LogPosition {
+	if p.Before(other) {
+		return other
+	}
+	return p
+}
+
+// String returns the term and the number, separated by a dot.
+func (p LogPosition) String() string { return p.Term.String() + "." + p.Number.String() }
--- /dev/null
+++ b/io/front/server.go
@@ -0,0 +1,227 @@
+package front
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"turmericpulley/core/pause"
+	"turmericpulley/core/routes"
+	"turmericpulley/core/stmt"
+)
+
+const (
+	// startupTimeout bounds the wait for the message that opens a session.
+	startupTimeout = 3 * time.Second
+	// acceptPause follows a connection that could not be accepted, usually for want of file descriptors.
+	acceptPause = 20 * time.Millisecond
+	// rotationWait is how long after the signal to stop new connections may still arrive: two probes a second apart must
+	// fail first.
+	rotationWait = 2200 * time.Millisecond
+	// transactionShare is the part of the time to stop that open transactions have to end.
+	transactionShare = 0.5
+	// firstConfiguration bounds the wait of a session for the instance's first configuration.
+	firstConfiguration = 1500 * time.Millisecond
+)
+
+// Settings are what a server is made from.
+type Settings struct {
+	Listener net.Listener
+	// Wrap makes a caller of an accepted connection.
+	Wrap   func(net.Conn) Caller
+	Routes *routes.Current
+	Router Router
+	Logger hclog.Logger
+	// MaxConnections bounds the sessions.
+	MaxConnections int
+}
+
+// Counters count what the server did since its start.
+type Counters struct {
+	Sessions  atomic.Int64
+	Served    atomic.Uint64
+	Failed    atomic.Uint64
+	Malformed atomic.Uint64
+}
+
+// Server accepts callers and serves their sessions.
+type Server struct {
+	settings Settings
+	logger   hclog.Logger
+	counters Counters
+	running  sync.WaitGroup
+	busy     atomic.Int64
+	// stopAt is the Unix time in nanoseconds of the signal to stop, closeAt when idle sessions are closed, and lateAt
+	// when open transactions are.
+	stopAt, closeAt, lateAt atomic.Int64
+
+	mu       sync.Mutex
+	sessions map[Caller]bool
+	closed   bool
+}
+
+// New starts to accept callers.
+func New(s Settings) *Server {
+	server := &Server{settings: s, logger: s.Logger, sessions: map[Caller]bool{}}
+	server.running.Go(func() {
+		for {
+			conn, err := s.Listener.Accept()
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			if err != nil {
+				pause.For(context.Background(), acceptPause)
+				continue
+			}
+			server.accept(conn)
+		}
+	})
+	return server
+}
+
+// Counters returns what the server counts.
+func (s *Server) Counters() *Counters { return &s.counters }
+
+func (s *Server) accept(conn net.Conn) {
+	caller := s.settings.Wrap(conn)
+	s.mu.Lock()
+	if s.closed || len(s.sessions) >= s.settings.MaxConnections {
+		s.mu.Unlock()
+		_ = caller.Close()
+		return
+	}
+	s.sessions[caller] = true
+	s.mu.Unlock()
+	s.counters.Sessions.Add(1)
+	s.running.Go(func() {
+		defer func() {
+			s.counters.Sessions.Add(-1)
+			s.mu.Lock()
+			delete(s.sessions, caller)
+			s.mu.Unlock()
+		}()
+		s.open(caller)
+	})
+}
+
+// open reads the opening message and serves the session.
+func (s *Server) open(caller Caller) {
+	_ = caller.SetIdleLimit(startupTimeout)
+	name, err := caller.Startup()
+	if err != nil {
+		if !isClosed(err) {
+			s.counters.Malformed.Add(1)
+			_ = caller.Reject(stmt.Malformed, err.Error())
+		}
+		_ = caller.Close()
+		return
+	}
+	if code, text := s.admit(name); code != stmt.OK {
+		s.logger.Info("session refused", "route", name, "code", code, "reason", text)
+		_ = caller.Reject(code, text)
+		_ = caller.Close()
+		return
+	}
+	if caller.Welcome() != nil {
+		_ = caller.Close()
+		return
+	}
+	session := &session{server: s, caller: caller, name: name, values: map[string]string{}, prepared: map[string]prepared{}}
+	session.serve()
+}
+
+// admit decides whether a session may be opened for the name.
+func (s *Server) admit(name routes.Name) (stmt.Code, string) {
+	table := s.settings.Routes.Table()
+	if table == nil {
+		ctx, cancel := context.WithTimeout(context.Background(), firstConfiguration)
+		defer cancel()
+		select {
+		case <-s.settings.Routes.Changed():
+			table = s.settings.Routes.Table()
+		case <-ctx.Done():
+		}
+	}
+	if table == nil {
+		return stmt.Overloaded, "the configuration is not known yet; come back in a second"
+	}
+	if _, known := table.Routes[name]; !known {
+		return stmt.UnknownDatabase, "no route has the name " + string(name)
+	}
+	return stmt.OK, ""
+}
+
+func (s *Server) begin() { s.busy.Add(1) }
+
+func (s *Server) end() { s.busy.Add(-1) }
+
+// failed counts and logs an answer that reports a failure.
+func (s *Server) failed(name routes.Name, id string, r stmt.Reply) {
+	s.counters.Failed.Add(1)
+	s.logger.Info("request answered with an error", "request", id, "route", name, "code", r.Code, "reason", r.Text)
+}
+
+// Stop ends sessions as they become idle, gives open transactions half of the grace to end, and closes the rest.
+func (s *Server) Stop(grace time.Duration) {
+	now := time.Now()
+	rotation := min(rotationWait, grace/3)
+	s.closeAt.Store(now.Add(rotation).UnixNano())
+	s.lateAt.Store(now.Add(time.Duration(transactionShare * float64(grace))).UnixNano())
+	s.stopAt.Store(now.UnixNano())
+	end := now.Add(grace)
+	pause.For(context.Background(), rotation)
+	for time.Now().Before(end) {
+		s.nudge()
+		if s.counters.Sessions.Load() == 0 {
+			break
+		}
+		pause.For(context.Background(), 50*time.Millisecond)
+	}
+	_ = s.settings.Listener.Close()
+	s.mu.Lock()
+	s.closed = true
+	for caller := range s.sessions {
+		_ = caller.Close()
+	}
+	s.mu.Unlock()
+	s.running.Wait()
+}
+
+// nudge wakes sessions that wait for a statement, so that they notice the stop.
+func (s *Server) nudge() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for caller := range s.sessions {
+		if n, ok := caller.(interface{ SetReadDeadline(time.Time) error }); ok {
+			_ = n.SetReadDeadline(time.Now())
+		}
+	}
+}
+
+func (s *Server) isStopping() bool { return s.stopAt.Load() != 0 }
+
+// stopping reports whether a session in the state is to be closed now.
+func (s *Server) stopping(state stmt.State) bool {
+	if !s.isStopping() {
+		return false
+	}
+	if state == stmt.Idle {
+		return time.Now().UnixNano() >= s.closeAt.Load()
+	}
+	return s.overdue()
+}
+
+// overdue reports whether the time of open transactions is over.
+func (s *Server) overdue() bool { return time.Now().UnixNano() >= s.lateAt.Load() }
+
+func isClosed(err error) bool {
+	var operation *net.OpError
+	return errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.As(err, &operation)
+}
--- /dev/null
+++ b/io/front/session.go
@@ -0,0 +1,373 @@
+package front
+
+import (
+	"context"
+	"maps"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"turmericpulley/core/pause"
+	"turmericpulley/core/place"
+	"turmericpulley/core/routes"
+	"turmericpulley/core/stmt"
+	"turmericpulley/core/types"
+	"turmericpulley/io/group"
+)
+
+// prepared is a statement that the caller named.
+type prepared struct {
+	access stmt.Access
+	shape  string
+}
+
+// session is one caller's session.
+type session struct {
+	server *Server
+	caller Caller
+	name   routes.Name
+
+	values   map[string]string
+	prepared map[string]prepared
+	state    stmt.State
+	// own is the newest commit of the session.
+	own types.LogPosition
+	// position is shown to the caller.
+	position types.LogPosition
+
+	// route and idleLimit are those of the open transaction, or of the statement that runs.
+	route     routes.Route
+	idleLimit time.Duration
+	// opening is the begin that was not sent yet; zero when the member has it.
+	opening stmt.Kind
+	// wrote tells that the open transaction has written.
+	wrote bool
+	// spent is the time that the open transaction has been served, without the caller's pauses.
+	spent time.Duration
+
+	runner   Runner
+	database types.DatabaseID
+	// unsent tells that the owner does not know the present values.
+	unsent bool
+}
+
+// serve answers the caller's statements until it leaves or the server stops.
+func (s *session) serve() {
+	defer s.leave()
+	for {
+		s.limitIdle()
+		if s.server.stopping(s.state) && !s.caller.Pending() {
+			return
+		}
+		statement, err := s.caller.Next()
+		var malformed Malformed
+		switch {
+		case errors.As(err, &malformed):
+			s.server.counters.Malformed.Add(1)
+			if s.answer(stmt.Statement{}, s.fail(stmt.Malformed, malformed.Detail)) != nil {
+				return
+			}
+			continue
+		case errors.Is(err, os.ErrDeadlineExceeded) && s.expire():
+			continue
+		case err != nil:
+			s.unreadable(err)
+			return
+		}
+		s.server.begin()
+		err = s.answer(statement, s.run(statement))
+		s.server.end()
+		if err != nil {
+			return
+		}
+	}
+}
+
+// unreadable tells the caller of a message that was too long.
+func (s *session) unreadable(err error) {
+	if errors.Is(err, ErrDone) || isClosed(err) {
+		return
+	}
+	s.server.counters.Malformed.Add(1)
+	_ = s.caller.Reply(s.fail(stmt.TooLarge, err.Error()))
+}
+
+// limitIdle bounds the wait for the next statement of an open transaction.
+func (s *session) limitIdle() {
+	limit := time.Duration(0)
+	if s.state == stmt.Open {
+		limit = s.idleLimit
+	}
+	_ = s.caller.SetIdleLimit(limit)
+}
+
+// expire rolls back a transaction whose caller was idle for too long, and reports whether the session goes on. The
+// caller hears of it with its next statement.
+func (s *session) expire() bool {
+	if s.server.isStopping() {
+		return s.state != stmt.Idle && !s.server.overdue()
+	}
+	if s.state != stmt.Open {
+		return true
+	}
+	s.server.logger.Info("idle transaction rolled back", "route", s.name, "limit", s.idleLimit)
+	s.abandon()
+	s.state = stmt.Broken
+	return true
+}
+
+func (s *session) leave() {
+	if s.runner != nil {
+		s.runner.Close()
+		s.runner = nil
+	}
+	_ = s.caller.Close()
+}
+
+// answer sends the reply with the session's state.
+func (s *session) answer(statement stmt.Statement, r stmt.Reply) error {
+	r.State = s.state
+	if r.Position == (types.LogPosition{}) {
+		r.Position = s.position
+	}
+	if r.Code != stmt.OK {
+		s.server.failed(s.name, statement.ID, r)
+	} else {
+		s.server.counters.Served.Add(1)
+	}
+	return s.caller.Reply(r)
+}
+
+// run carries out one statement.
+func (s *session) run(statement stmt.Statement) stmt.Reply {
+	switch statement.Kind {
+	case stmt.Rollback:
+		return s.rollback()
+	case stmt.Commit:
+		if s.state == stmt.Broken {
+			s.state = stmt.Idle
+			return stmt.Fail(stmt.RolledBack, "the transaction had failed; nothing of it is kept")
+		}
+	default:
+		if s.state == stmt.Broken {
+			return stmt.Fail(stmt.Malformed, "the transaction has failed; end it before anything else")
+		}
+	}
+	switch statement.Kind {
+	case stmt.Begin, stmt.BeginRead:
+		return s.begin(statement.Kind)
+	case stmt.Set:
+		s.values = maps.Clone(s.values)
+		s.values[statement.Name] = statement.Data
+		s.unsent = true
+		return stmt.Reply{}
+	case stmt.Prepare:
+		s.prepared[statement.Name] = prepared{statement.Access, statement.Shape}
+		return stmt.Reply{}
+	case stmt.Deallocate:
+		delete(s.prepared, statement.Name)
+		return stmt.Reply{}
+	case stmt.Execute:
+		p, known := s.prepared[statement.Name]
+		if !known {
+			return s.fail(stmt.UnknownStatement, "no statement is prepared under the name "+statement.Name)
+		}
+		statement.Access, statement.Shape = p.access, p.shape
+	case stmt.Commit:
+		if s.state == stmt.Idle {
+			return stmt.Fail(stmt.Malformed, "no transaction is open")
+		}
+	}
+	return s.forward(statement)
+}
+
+// begin opens a transaction; the member hears of it with the first statement.
+func (s *session) begin(kind stmt.Kind) stmt.Reply {
+	if s.state != stmt.Idle {
+		return s.fail(stmt.Malformed, "a transaction is open already")
+	}
+	if r, ok := s.resolve(); !ok {
+		return r
+	}
+	s.state, s.opening, s.wrote, s.spent = stmt.Open, kind, false, 0
+	return stmt.Reply{}
+}
+
+func (s *session) rollback() stmt.Reply {
+	s.abandon()
+	s.state = stmt.Idle
+	return stmt.Reply{}
+}
+
+// abandon ends the transaction at the owner.
+func (s *session) abandon() {
+	if s.runner != nil && s.state != stmt.Idle && s.opening == 0 {
+		if _, err := s.runner.Do(group.Work{Abandon: true, Inside: true}); err != nil {
+			s.runner.Close()
+			s.runner = nil
+		}
+	}
+	s.opening = 0
+}
+
+// resolve looks up the session's route in the configuration in force; false comes with the answer for the caller.
+func (s *session) resolve() (stmt.Reply, bool) {
+	table := s.server.settings.Routes.Table()
+	if table == nil {
+		return s.fail(stmt.Overloaded, "the configuration is not known yet; come back in a second"), false
+	}
+	route, known := table.Routes[s.name]
+	if !known {
+		return s.fail(stmt.UnknownDatabase, "no route has the name "+string(s.name)), false
+	}
+	s.route, s.idleLimit = route, table.IdleLimit
+	return stmt.Reply{}, true
+}
+
+// forward sends a statement to the owner of the database and takes what its answer changes.
+func (s *session) forward(statement stmt.Statement) stmt.Reply {
+	if s.state == stmt.Idle {
+		if r, ok := s.resolve(); !ok {
+			return r
+		}
+		s.spent = 0
+	}
+	started := time.Now()
+	w := s.work(statement)
+	r := s.deliver(w, started)
+	s.spent += time.Since(started)
+	s.opening = 0
+	switch {
+	case statement.Kind == stmt.Commit:
+		s.state = stmt.Idle
+	case s.state == stmt.Open && r.Code != stmt.OK:
+		s.state = stmt.Broken
+	}
+	if r.Code == stmt.OK {
+		s.settle(statement, r)
+	}
+	return r
+}
+
+// settle notes the position of a commit of the session.
+func (s *session) settle(statement stmt.Statement, r stmt.Reply) {
+	if r.Position != (types.LogPosition{}) {
+		s.position = r.Position
+	}
+	writes := statement.Writes()
+	if s.state == stmt.Open {
+		s.wrote = s.wrote || writes
+		return
+	}
+	if writes || statement.Kind == stmt.Commit && s.wrote {
+		s.own = s.own.Max(r.Position)
+	}
+}
+
+func (s *session) work(statement stmt.Statement) group.Work {
+	w := group.Work{
+		Statement: statement,
+		Inside:    s.state == stmt.Open,
+		Opens:     s.opening == stmt.Begin,
+		OpensRead: s.opening == stmt.BeginRead,
+		Own:       s.own,
+		MaxAge:    s.route.MaxAge,
+		Priority:  s.route.Priority,
+		Class:     place.Class(s.route.Name),
+	}
+	reads := !w.Inside && statement.Reads() || w.OpensRead
+	w.Replicas = reads && s.route.Consistency != routes.Primary
+	if s.route.Consistency != routes.Own {
+		w.Own = types.LogPosition{}
+	}
+	return w
+}
+
+const (
+	// defaultTimeout limits statements of routes without a limit of their own.
+	defaultTimeout = 5 * time.Second
+	// reroutePause is the time between two searches for the owner of a database.
+	reroutePause = 20 * time.Millisecond
+)
+
+// deliver sends the work to the owner, and again when it surely had no effect.
+func (s *session) deliver(w group.Work, started time.Time) stmt.Reply {
+	limit := s.route.Timeout
+	if limit <= 0 {
+		limit = defaultTimeout
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), started.Add(limit))
+	defer cancel()
+	continues := w.Inside && !w.Opens && !w.OpensRead
+	for {
+		if continues && s.runner == nil {
+			return stmt.Fail(stmt.RolledBack, "the way to the transaction's owner broke; nothing of it is kept")
+		}
+		if err := s.reach(ctx); err != nil {
+			return stmt.Fail(stmt.Overloaded, err.Error())
+		}
+		w.Limit = time.Until(started.Add(limit))
+		w.Objective = s.route.Objective - s.spent - time.Since(started)
+		if w.Values = nil; s.unsent {
+			w.Values = s.values
+		}
+		r, err := s.runner.Do(w)
+		if err == nil {
+			s.unsent = false
+			return r
+		}
+		s.drop()
+		if r, final := s.broken(w, err, continues); final {
+			return r
+		}
+		if !pause.For(ctx, reroutePause) {
+			return stmt.Fail(stmt.Overloaded, "no owner of the database answered in time; come back in 200 ms")
+		}
+	}
+}
+
+// broken decides what the loss of the way to the owner means; final comes with the answer for the caller.
+func (s *session) broken(w group.Work, err error, continues bool) (stmt.Reply, bool) {
+	notRun := errors.Is(err, group.ErrNotOwner)
+	switch {
+	case continues && w.Statement.Kind == stmt.Commit && !notRun:
+		return stmt.Fail(stmt.OutcomeUnknown, "the answer to the commit is missing: "+err.Error()), true
+	case continues:
+		return stmt.Fail(stmt.RolledBack, "nothing of the transaction is kept: "+err.Error()), true
+	case notRun || w.Inside || w.Statement.Reads():
+		return stmt.Reply{}, false
+	default:
+		return stmt.Fail(stmt.OutcomeUnknown, "the answer to the write is missing: "+err.Error()), true
+	}
+}
+
+// reach makes sure that there is a way to the owner of the route's database.
+func (s *session) reach(ctx context.Context) error {
+	if s.runner != nil && s.database == s.route.Database {
+		return nil
+	}
+	s.drop()
+	runner, err := s.server.settings.Router.Runner(ctx, s.route.Database)
+	if err != nil {
+		return err
+	}
+	s.runner, s.database, s.unsent = runner, s.route.Database, len(s.values) > 0
+	return nil
+}
+
+func (s *session) drop() {
+	if s.runner != nil {
+		s.runner.Close()
+		s.runner = nil
+	}
+}
+
+// fail returns a failure and breaks an open transaction.
+func (s *session) fail(code stmt.Code, text string) stmt.Reply {
+	if s.state == stmt.Open {
+		s.abandon()
+		s.state = stmt.Broken
+	}
+	return stmt.Fail(code, text)
+}
--- /dev/null
+++ b/io/group/pool.go
@@ -0,0 +1,144 @@
+package group
+
+import (
+	"context"
+	"maps"
+	"sync"
+
+	"turmericpulley/core/routes"
+)
+
+// pool holds the idle connections to one member; the desk bounds those in use.
+type pool struct {
+	dialer Dialer
+
+	mu     sync.Mutex
+	member routes.Member
+	idle   []*pooled
+	inUse  map[*pooled]bool
+	closed bool
+}
+
+func newPool(d Dialer, m routes.Member) *pool {
+	return &pool{dialer: d, member: m, inUse: map[*pooled]bool{}}
+}
+
+// get returns an idle connection, best one with the session's values, or a new one.
+func (p *pool) get(ctx context.Context, values map[string]string) (*pooled, error) {
+	for {
+		c := p.take(values)
+		if c == nil {
+			return p.dial(ctx)
+		}
+		if c.conn.Quiet() {
+			return c, nil
+		}
+		p.drop(c)
+	}
+}
+
+func (p *pool) take(values map[string]string) *pooled {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return nil
+	}
+	best := len(p.idle) - 1
+	for i := best; i >= 0; i-- {
+		if maps.Equal(p.idle[i].values, values) {
+			best = i
+			break
+		}
+	}
+	c := p.idle[best]
+	p.idle = append(p.idle[:best], p.idle[best+1:]...)
+	p.inUse[c] = true
+	return c
+}
+
+func (p *pool) dial(ctx context.Context) (*pooled, error) {
+	conn, err := p.dialer.Dial(ctx, p.current())
+	if err != nil {
+		return nil, err
+	}
+	c := &pooled{conn: conn, values: map[string]string{}, prepared: map[string]bool{}}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		conn.Close()
+		return nil, errPoolClosed
+	}
+	p.inUse[c] = true
+	return c, nil
+}
+
+// put returns a connection after use.
+func (p *pool) put(c *pooled) {
+	p.mu.Lock()
+	keep := !c.broken && !p.closed && p.inUse[c]
+	delete(p.inUse, c)
+	if keep {
+		p.idle = append(p.idle, c)
+	}
+	p.mu.Unlock()
+	if !keep {
+		c.conn.Close()
+	}
+}
+
+// drop closes a connection that is of no more use.
+func (p *pool) drop(c *pooled) {
+	c.broken = true
+	p.put(c)
+}
+
+// condemn closes the idle connections, which are as old as one that went silent.
+func (p *pool) condemn() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.conn.Close()
+	}
+}
+
+// sever closes all connections, those in use included, whose statements then end without an answer.
+func (p *pool) sever() {
+	p.condemn()
+	p.mu.Lock()
+	used := make([]*pooled, 0, len(p.inUse))
+	for c := range p.inUse {
+		used = append(used, c)
+		delete(p.inUse, c)
+	}
+	p.mu.Unlock()
+	for _, c := range used {
+		c.conn.Close()
+	}
+}
+
+// close severs all connections for good.
+func (p *pool) close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.sever()
+}
+
+func (p *pool) current() routes.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.member
+}
+
+// update takes the member's newest entry; connections to another address or an earlier start are closed.
+func (p *pool) update(m routes.Member) {
+	p.mu.Lock()
+	moved := p.member.Address != m.Address || p.member.Born != m.Born
+	p.member = m
+	p.mu.Unlock()
+	if moved {
+		p.sever()
+	}
+}
--- /dev/null
+++ b/io/group/replace.go
@@ -0,0 +1,191 @@
+package group
+
+import (
+	"context"
+	"time"
+
+	"turmericpulley/core/clock"
+	"turmericpulley/core/hold"
+	"turmericpulley/core/pause"
+	"turmericpulley/core/routes"
+	"turmericpulley/core/stmt"
+	"turmericpulley/core/types"
+)
+
+// reason says why the primary is replaced.
+type reason int
+
+const (
+	// unplanned changes follow the loss of the primary.
+	unplanned reason = iota
+	// planned changes lose nothing: the primary is about to leave and works until then.
+	planned
+)
+
+// replace promotes the replica with the longest log.
+func (s *steward) replace(ctx context.Context, why reason) {
+	g := s.group
+	old, _ := g.desk.Primary()
+	if why == planned && !s.hasSuccessor(old) {
+		return
+	}
+	g.desk.Shut(promoteWait)
+	if s.lost == 0 {
+		s.lost = g.settings.Clock.Now()
+	}
+	var end types.LogPosition
+	if why == planned {
+		end = s.quiesce(ctx, old)
+	}
+	if p := g.pool(old); p != nil {
+		p.sever()
+	}
+	candidate, term, found := s.elect(ctx, old, end)
+	if !found {
+		g.logger.Warn("no member can be promoted", "database", g.settings.Database)
+		pause.For(ctx, stewardInterval)
+		return
+	}
+	if !g.settings.Ownership.MayPromote(ctx) {
+		g.logger.Warn("promotion waits for the end of an earlier ownership")
+		g.desk.Shut(promoteWait)
+		return
+	}
+	s.promote(ctx, candidate, term, old)
+}
+
+// hasSuccessor reports whether a member other than the primary takes work.
+func (s *steward) hasSuccessor(old types.TargetID) bool {
+	for _, m := range s.group.list() {
+		if m.Target != old && !m.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// quiesce waits until the work in flight at a primary that leaves has ended, and returns the end of its log.
+func (s *steward) quiesce(ctx context.Context, old types.TargetID) types.LogPosition {
+	g := s.group
+	until := g.settings.Clock.Now().Add(drainWait)
+	for g.settings.Clock.Now() < until {
+		if statements, connections := g.desk.InUse(old); statements == 0 && connections == 0 {
+			break
+		}
+		if !pause.For(ctx, 10*time.Millisecond) {
+			return types.LogPosition{}
+		}
+	}
+	m, listed := g.member(old)
+	if !listed {
+		return types.LogPosition{}
+	}
+	seen := g.probe(ctx, m, stmt.Statement{Kind: stmt.Status})
+	if seen.err != nil {
+		return types.LogPosition{}
+	}
+	return seen.status.Received.Max(seen.applied)
+}
+
+// elect returns the member with the longest log and the next term. With an end it waits a moment for a member that
+// holds the log up to there.
+func (s *steward) elect(ctx context.Context, old types.TargetID, end types.LogPosition) (routes.Member, types.Term, bool) {
+	g := s.group
+	until := g.settings.Clock.Now().Add(catchUpWait)
+	for {
+		seen := g.probeAll(ctx, s.others(old))
+		best, found := longest(seen)
+		term := g.term
+		for _, o := range seen {
+			if o.err == nil {
+				term = max(term, o.status.Term, o.status.HeldTerm)
+			}
+		}
+		if p := g.settings.Ownership.Intended(); p != nil {
+			term = max(term, p.Term)
+		}
+		caughtUp := found && !best.status.Received.Before(end)
+		if caughtUp || g.settings.Clock.Now() >= until {
+			return best.member, term + 1, found
+		}
+		if !pause.For(ctx, 20*time.Millisecond) {
+			return routes.Member{}, 0, false
+		}
+	}
+}
+
+// longest returns the member with the longest log among those that answered and stay.
+func longest(seen []sighting) (sighting, bool) {
+	var best sighting
+	found := false
+	for _, o := range seen {
+		if o.err != nil {
+			continue
+		}
+		if !found || best.member.Leaving && !o.member.Leaving ||
+			best.member.Leaving == o.member.Leaving && best.status.Received.Before(o.status.Received) {
+			best, found = o, true
+		}
+	}
+	return best, found
+}
+
+// others returns the members but for the old primary.
+func (s *steward) others(old types.TargetID) []routes.Member {
+	var others []routes.Member
+	for _, m := range s.group.list() {
+		if m.Target != old {
+			others = append(others, m)
+		}
+	}
+	return others
+}
+
+// callWindow is how long after the store's answer the call to promote may still be sent; a suspension in between ends
+// the attempt, because a successor may have promoted meanwhile.
+const callWindow = 500 * time.Millisecond
+
+// promote records the intent, asks for the promotion and waits until it is in force.
+func (s *steward) promote(ctx context.Context, candidate routes.Member, term types.Term, old types.TargetID) {
+	g := s.group
+	began := g.settings.Clock.Now()
+	token, err := g.settings.Ownership.Intend(ctx, hold.Promotion{Target: candidate.Target, Term: term})
+	if err != nil {
+		g.logger.Warn("promotion not recorded", "member", candidate.Target, "term", term, "error", err)
+		pause.For(ctx, stewardInterval)
+		return
+	}
+	if g.settings.Clock.Since(began) > callWindow+promoteCallTimeout || !g.settings.Ownership.Authority().Valid() {
+		g.logger.Warn("promotion given up, the record took too long", "member", candidate.Target)
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, promoteCallTimeout)
+	outcome, err := g.settings.Promoter.Promote(call, g.settings.Database, candidate.Target, token)
+	cancel()
+	g.logger.Info("promotion asked for", "member", candidate.Target, "term", term, "token", token, "old", old,
+		"outcome", int(outcome), "error", err)
+	if outcome == PromoteNotDone || outcome == PromoteRefused {
+		pause.For(ctx, stewardInterval)
+		return
+	}
+	s.await(ctx, candidate, term, began.Add(promoteLimit))
+	if m, listed := g.member(old); listed && old != candidate.Target {
+		s.stepDown(m)
+	}
+}
+
+// await opens the promoted member as soon as it says that it is primary.
+func (s *steward) await(ctx context.Context, candidate routes.Member, term types.Term, until clock.Moment) {
+	g := s.group
+	for g.settings.Clock.Now() < until {
+		seen := g.glance(ctx, candidate)
+		if seen.err == nil && seen.status.Primary && seen.status.Term >= term && g.settings.Ownership.Authority().Valid() {
+			s.open(seen)
+			return
+		}
+		if !pause.For(ctx, 25*time.Millisecond) {
+			return
+		}
+	}
+	g.logger.Warn("promotion did not take effect", "member", candidate.Target, "term", term)
+}
--- /dev/null
+++ b/io/group/transaction.go
@@ -0,0 +1,148 @@
+package group
+
+import (
+	"context"
+	"time"
+
+	"turmericpulley/core/pause"
+	"turmericpulley/core/place"
+	"turmericpulley/core/stmt"
+)
+
+// rollbackTimeout bounds the end of a transaction that nobody waits for; a connection that does not answer is closed,
+// which rolls back as well.
+const rollbackTimeout = 500 * time.Millisecond
+
+// continued runs a further statement of the open transaction, or its commit.
+func (s *Session) continued(w Work) stmt.Reply {
+	g, t := s.group, s.pinned
+	if t == nil {
+		g.logger.Info("request rolled back", "request", w.Statement.ID, "reason", "no transaction is open here")
+		return s.failed(w, stmt.RolledBack, "the transaction's connection is gone; nothing of it is kept")
+	}
+	now := g.settings.Clock.Now()
+	need := place.Need{
+		Class: w.Class, Priority: w.Priority, Objective: now.Add(w.Objective), Deadline: now.Add(w.Limit), Pinned: t.target,
+	}
+	if w.Statement.Kind == stmt.Commit {
+		need.Class = commitClass
+	}
+	for {
+		grant, err := g.desk.Acquire(need)
+		if err != nil {
+			s.abandon()
+			g.logger.Info("request rolled back", "request", w.Statement.ID, "reason", err)
+			return s.failed(w, stmt.RolledBack, "nothing of the transaction is kept: "+err.Error())
+		}
+		reply, again := s.inside(w, grant, time.Now().Add(g.settings.Clock.Until(need.Deadline)))
+		if !again {
+			return reply
+		}
+	}
+}
+
+// commitClass is the work of commits, which is alike for all routes.
+const commitClass place.Class = "commit"
+
+// inside sends a statement on the transaction's connection; again means that the member was too busy to run it.
+func (s *Session) inside(w Work, grant *place.Grant, deadline time.Time) (reply stmt.Reply, again bool) {
+	g, t := s.group, s.pinned
+	if t.primary && !g.settings.Ownership.Authority().Valid() {
+		g.desk.Release(grant, 0, false)
+		s.abandon()
+		return s.failed(w, stmt.RolledBack, "the ownership of the database ended; nothing of the transaction is kept"), false
+	}
+	if r, ok := t.conn.ready(deadline, s.values, w.Statement); !ok {
+		g.desk.Release(grant, 0, false)
+		s.abandon()
+		return s.failed(w, stmt.RolledBack, "nothing of the transaction is kept: "+r.Text), false
+	}
+	asked := g.settings.Clock.Now()
+	replies, err := t.conn.conn.Exchange(deadline, named(w.Statement))
+	if err != nil {
+		t.conn.broken = true
+		g.desk.Release(grant, 0, false)
+		g.suspect(t.target)
+		return s.cutOff(w, err.Error()), false
+	}
+	r := replies[0]
+	valid := g.settings.Ownership.Authority().Valid()
+	grant.Primary = t.primary
+	s.learn(grant, r, asked, valid)
+	g.desk.Release(grant, g.settings.Clock.Since(asked), false)
+	if t.primary && !valid {
+		t.conn.broken = true
+		return s.cutOff(w, "the ownership of the database ended before the answer"), false
+	}
+	if r.Code == stmt.Overloaded && r.State == stmt.Open && time.Now().Add(busyPause).Before(deadline) {
+		pause.For(context.Background(), busyPause)
+		return stmt.Reply{}, true
+	}
+	return s.afterInside(w, r), false
+}
+
+// busyPause is the time before a member that was too busy is asked again; it works some 10 ms at a statement.
+const busyPause = 15 * time.Millisecond
+
+// cutOff answers a statement whose transaction lost its connection.
+func (s *Session) cutOff(w Work, detail string) stmt.Reply {
+	s.abandon()
+	if w.Statement.Kind == stmt.Commit {
+		s.group.logger.Warn("outcome unknown", "request", w.Statement.ID, "reason", detail)
+		return stmt.Fail(stmt.OutcomeUnknown, "the answer to the commit is missing: "+detail)
+	}
+	s.group.logger.Info("request rolled back", "request", w.Statement.ID, "reason", detail)
+	return s.failed(w, stmt.RolledBack, "nothing of the transaction is kept: "+detail)
+}
+
+// afterInside sets the state that a statement of a transaction leaves.
+func (s *Session) afterInside(w Work, r stmt.Reply) stmt.Reply {
+	t := s.pinned
+	if w.Statement.Kind == stmt.Commit {
+		s.pinned = nil
+		s.group.desk.Unpin(t.target)
+		if r.Code != stmt.OK || r.State != stmt.Idle {
+			t.conn.broken = true
+		}
+		t.pool.put(t.conn)
+		if r.Code.NotRun() {
+			r = stmt.Fail(stmt.RolledBack, "nothing of the transaction is kept: "+string(r.Code)+" "+r.Text)
+		}
+		r.State = stmt.Idle
+		return r
+	}
+	if r.Code == stmt.OK {
+		r.State = stmt.Open
+		return r
+	}
+	s.abandon()
+	s.group.logger.Info("request failed at member", "request", w.Statement.ID, "member", t.target, "code", r.Code, "reason", r.Text)
+	if r.Code.NotRun() {
+		r.Code = stmt.RolledBack
+	}
+	r.State = stmt.Broken
+	return r
+}
+
+// abandon rolls back the open transaction without waiting for it.
+func (s *Session) abandon() {
+	t := s.pinned
+	if t == nil {
+		return
+	}
+	s.pinned = nil
+	g := s.group
+	if t.conn.broken {
+		t.pool.put(t.conn)
+		g.desk.Unpin(t.target)
+		return
+	}
+	g.running.Go(func() {
+		replies, err := t.conn.conn.Exchange(time.Now().Add(rollbackTimeout), stmt.Statement{Kind: stmt.Rollback})
+		if err != nil || replies[0].Code != stmt.OK || replies[0].State != stmt.Idle {
+			t.conn.broken = true
+		}
+		t.pool.put(t.conn)
+		g.desk.Unpin(t.target)
+	})
+}
--- /dev/null
+++ b/io/logs/doc.go
@@ -0,0 +1,2 @@
+// Package logs writes log lines without ever making the writer of a line wait.
+package logs
--- /dev/null
+++ b/io/node/calls.go
@@ -0,0 +1,191 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"turmericpulley/core/types"
+	"turmericpulley/io/peers"
+	"turmericpulley/io/wire"
+)
+
+const (
+	// peerTimeout bounds a question to another instance, which answers in a few milliseconds.
+	peerTimeout = 500 * time.Millisecond
+	// relayPeers is the number of instances that are asked to call the store.
+	relayPeers = 3
+)
+
+// call asks another instance one question.
+func (n *Node) call(ctx context.Context, address string, call *wire.Call) (*wire.CallReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	channel, err := n.transport.Open(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	defer channel.Close()
+	return n.exchange(ctx, channel, call)
+}
+
+func (n *Node) exchange(ctx context.Context, channel *peers.Channel, call *wire.Call) (*wire.CallReply, error) {
+	if deadline, bounded := ctx.Deadline(); bounded {
+		if err := channel.Conn().SetDeadline(deadline); err != nil {
+			return nil, errors.Wrap(err, "setting a deadline")
+		}
+	}
+	call.Configuration = n.version()
+	if err := channel.Send(call); err != nil {
+		return nil, err
+	}
+	reply := &wire.CallReply{}
+	if err := channel.Receive(reply); err != nil {
+		return nil, errors.Wrap(err, "waiting for another instance")
+	}
+	n.heard(reply.GetConfiguration())
+	return reply, nil
+}
+
+// heard notices that another instance has a newer configuration.
+func (n *Node) heard(version int64) {
+	if version <= n.version() || !n.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	n.running.Go(func() {
+		defer n.fetching.Store(false)
+		if i, found, err := n.store.Get(n.ctx, n.settings.Formats.Configuration); err == nil && found {
+			n.feed.takeConfiguration(i)
+			return
+		}
+		n.feed.askPeers(n.ctx)
+	})
+}
+
+// others returns addresses of other instances, seeds included.
+func (n *Node) others(count int) []string {
+	var addresses []string
+	known := map[string]bool{n.settings.Self.PeerAddress: true}
+	add := func(address string) {
+		if !known[address] && len(addresses) < count {
+			known[address] = true
+			addresses = append(addresses, address)
+		}
+	}
+	all := n.roster.all()
+	start := 0
+	for i, instance := range all {
+		if instance.ID == n.settings.Self.ID {
+			start = i
+		}
+	}
+	for i := range all {
+		add(all[(start+i)%len(all)].PeerAddress)
+	}
+	for _, seed := range n.settings.Seeds {
+		add(seed)
+	}
+	return addresses
+}
+
+// relay calls the store through other instances.
+type relay struct {
+	node *Node
+}
+
+// Call asks a few instances at once and takes the first usable answer.
+func (r *relay) Call(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+	n := r.node
+	addresses := n.others(relayPeers)
+	type answer struct {
+		status int
+		body   []byte
+		err    error
+	}
+	answers := make(chan answer, len(addresses))
+	for _, address := range addresses {
+		n.running.Go(func() {
+			reply, err := n.call(ctx, address, &wire.Call{Kind: &wire.Call_StoreCall{StoreCall: &wire.StoreCall{
+				Method: method, Path: path, Body: body,
+			}}})
+			stored := reply.GetStoreReply()
+			answers <- answer{int(stored.GetStatus()), stored.GetBody(), err}
+		})
+	}
+	last := errors.New("no other instance is known that could call the store")
+	for range addresses {
+		a := <-answers
+		if a.err == nil && a.status != 0 && a.status != http.StatusServiceUnavailable {
+			return a.status, a.body, nil
+		}
+		if a.err != nil {
+			last = a.err
+		}
+	}
+	return 0, nil, errors.Wrap(last, "calling the store through other instances")
+}
+
+// serve answers the calls of another instance on one channel.
+func (n *Node) serve(channel *peers.Channel) {
+	visitor := &visitor{node: n}
+	defer visitor.close()
+	for {
+		call := &wire.Call{}
+		if channel.Receive(call) != nil {
+			return
+		}
+		n.heard(call.GetConfiguration())
+		reply := n.answer(visitor, call)
+		reply.Configuration = n.version()
+		if channel.Send(reply) != nil {
+			return
+		}
+	}
+}
+
+func (n *Node) answer(v *visitor, call *wire.Call) *wire.CallReply {
+	switch kind := call.GetKind().(type) {
+	case *wire.Call_Work:
+		return &wire.CallReply{Kind: &wire.CallReply_Work{Work: v.work(kind.Work)}}
+	case *wire.Call_StoreCall:
+		return n.serveStore(kind.StoreCall)
+	case *wire.Call_Reach:
+		return &wire.CallReply{Kind: &wire.CallReply_Reached{Reached: &wire.Reached{Alive: n.reaches(kind.Reach)}}}
+	case *wire.Call_Fence:
+		done := n.holder.fence(types.DatabaseID(kind.Fence.GetDatabase()), types.Epoch(kind.Fence.GetEpoch()))
+		return &wire.CallReply{Kind: &wire.CallReply_Fenced{Fenced: &wire.Fenced{Done: done}}}
+	case *wire.Call_ConfigurationQuery:
+		n.roster.mu.Lock()
+		i := n.roster.configuration
+		n.roster.mu.Unlock()
+		return &wire.CallReply{Kind: &wire.CallReply_ConfigurationValue{ConfigurationValue: &wire.Configuration{
+			Value: i.Value, Revision: uint64(i.Revision),
+		}}}
+	default:
+		return &wire.CallReply{}
+	}
+}
+
+func (n *Node) serveStore(call *wire.StoreCall) *wire.CallReply {
+	status, body, err := n.store.Serve(n.ctx, call.GetMethod(), call.GetPath(), call.GetBody())
+	if err != nil {
+		status = 0
+	}
+	return &wire.CallReply{Kind: &wire.CallReply_StoreReply{StoreReply: &wire.StoreReply{Status: uint32(status), Body: body}}}
+}
+
+// reaches reports whether the instance answers from here; an empty name means this one.
+func (n *Node) reaches(reach *wire.Reach) bool {
+	id := types.InstanceID(reach.GetInstance())
+	if id == "" || id == n.settings.Self.ID {
+		return true
+	}
+	instance, known := n.roster.instance(id)
+	if !known {
+		return false
+	}
+	_, err := n.call(n.ctx, instance.PeerAddress, &wire.Call{Kind: &wire.Call_Reach{Reach: &wire.Reach{}}})
+	return err == nil
+}
--- /dev/null
+++ b/io/node/feed.go
@@ -0,0 +1,215 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"turmericpulley/core/fault"
+	"turmericpulley/core/pause"
+	"turmericpulley/core/routes"
+	"turmericpulley/core/types"
+	"turmericpulley/io/wire"
+)
+
+const (
+	// configurationWait is how long a watch for the configuration waits: a connection that went silent is noticed within
+	// it, and a change must be in force within 3 s.
+	configurationWait = 2500 * time.Millisecond
+	// fleetWait is how long a watch for instances and owners waits; these say only where to go.
+	fleetWait = 8 * time.Second
+	// batchPause collects changes that follow each other, since each answer of a watch has its price.
+	batchPause = 150 * time.Millisecond
+	// retryPause follows a call that failed.
+	retryPause = 250 * time.Millisecond
+)
+
+// feed follows the store.
+type feed struct {
+	node *Node
+}
+
+// followConfiguration keeps the configuration current.
+func (f *feed) followConfiguration(ctx context.Context) {
+	n := f.node
+	var after types.Revision
+	available := true
+	for ctx.Err() == nil {
+		if after == 0 {
+			after = f.readConfiguration(ctx, &available)
+			continue
+		}
+		items, next, err := n.store.Watch(ctx, n.settings.Formats.ConfigurationPrefix, after, configurationWait)
+		if err != nil {
+			after = 0
+			continue
+		}
+		for _, i := range items {
+			f.takeConfiguration(i)
+		}
+		after = next
+		if len(items) > 0 && !pause.For(ctx, batchPause) {
+			return
+		}
+	}
+}
+
+// readConfiguration reads the whole configuration, from another instance when the store does not answer.
+func (f *feed) readConfiguration(ctx context.Context, available *bool) types.Revision {
+	n := f.node
+	items, revision, err := n.store.Range(ctx, n.settings.Formats.ConfigurationPrefix)
+	if err == nil {
+		f.tellStore(available, true, "")
+		for _, i := range items {
+			f.takeConfiguration(i)
+		}
+		if len(items) == 0 {
+			pause.For(ctx, retryPause)
+		}
+		return revision
+	}
+	f.tellStore(available, false, err.Error())
+	f.askPeers(ctx)
+	pause.For(ctx, retryPause)
+	return 0
+}
+
+func (f *feed) tellStore(available *bool, now bool, reason string) {
+	if *available == now {
+		return
+	}
+	*available = now
+	if now {
+		f.node.logger.Info("store regained")
+		return
+	}
+	f.node.logger.Warn("store lost", "reason", reason)
+}
+
+// takeConfiguration takes a version that is newer than the present one.
+func (f *feed) takeConfiguration(i Item) {
+	n := f.node
+	if i.Key != n.settings.Formats.Configuration || i.Deleted {
+		return
+	}
+	table, err := n.settings.Formats.ParseConfiguration(i.Value)
+	if err != nil {
+		n.logger.Error("configuration not understood", "revision", i.Revision, "error", err)
+		return
+	}
+	n.takeTable(table, i)
+}
+
+func (n *Node) takeTable(table *routes.Table, i Item) {
+	if !n.routes.Offer(table) {
+		return
+	}
+	n.roster.mu.Lock()
+	n.roster.configuration = i
+	n.roster.mu.Unlock()
+	n.logger.Info("configuration in force", "version", int64(table.Version), "revision", i.Revision, "routes", len(table.Routes))
+}
+
+// version returns the version of the configuration in force.
+func (n *Node) version() int64 {
+	if t := n.routes.Table(); t != nil {
+		return int64(t.Version)
+	}
+	return 0
+}
+
+// askPeers asks other instances for a newer configuration.
+func (f *feed) askPeers(ctx context.Context) {
+	n := f.node
+	for _, address := range n.others(relayPeers) {
+		reply, err := n.call(ctx, address, &wire.Call{Kind: &wire.Call_ConfigurationQuery{ConfigurationQuery: &wire.ConfigurationQuery{}}})
+		if err != nil {
+			continue
+		}
+		c := reply.GetConfigurationValue()
+		if len(c.GetValue()) > 0 {
+			f.takeConfiguration(Item{
+				Key: n.settings.Formats.Configuration, Value: c.GetValue(), Revision: types.Revision(c.GetRevision()),
+			})
+			return
+		}
+	}
+}
+
+// followFleet keeps instances and owners current and this instance announced.
+func (f *feed) followFleet(ctx context.Context) {
+	n := f.node
+	var after types.Revision
+	announced := false
+	for ctx.Err() == nil {
+		if !announced {
+			announced = f.announce(ctx)
+		}
+		if after == 0 {
+			items, revision, err := n.store.Range(ctx, fleetPrefix)
+			if err != nil {
+				pause.For(ctx, retryPause)
+				continue
+			}
+			after = revision
+			announced = f.takeFleet(items) && announced
+			n.roster.retain(fleetPrefix, items, revision)
+			announced = announced && contains(items, instanceKey(n.settings.Self.ID))
+			continue
+		}
+		items, next, err := n.store.Watch(ctx, fleetPrefix, after, fleetWait)
+		if err != nil {
+			after = 0
+			pause.For(ctx, retryPause)
+			continue
+		}
+		announced = f.takeFleet(items) && announced
+		after = next
+		if len(items) > 0 {
+			pause.For(ctx, batchPause/3)
+		}
+	}
+}
+
+func contains(items []Item, key string) bool {
+	for _, i := range items {
+		if i.Key == key {
+			return true
+		}
+	}
+	return false
+}
+
+// takeFleet notes items and reports whether this instance is still announced.
+func (f *feed) takeFleet(items []Item) (announced bool) {
+	announced = true
+	for _, i := range items {
+		if f.node.roster.take(i) {
+			announced = false
+		}
+	}
+	return announced
+}
+
+// announce writes where this instance can be reached.
+func (f *feed) announce(ctx context.Context) bool {
+	n := f.node
+	value, err := json.Marshal(n.settings.Self)
+	if err != nil {
+		n.logger.Error("instance not announced", "error", err)
+		return false
+	}
+	key := instanceKey(n.settings.Self.ID)
+	present, _, err := n.store.Get(ctx, key)
+	if err == nil {
+		_, err = n.store.Put(ctx, key, value, present.Revision)
+	}
+	if err != nil {
+		if kind := fault.From(err); kind == nil || kind.Kind != fault.RevisionConflict {
+			n.logger.Warn("instance not announced", "error", err)
+			pause.For(ctx, retryPause)
+		}
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/io/node/holding.go
@@ -0,0 +1,143 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"turmericpulley/core/clock"
+	"turmericpulley/core/fault"
+	"turmericpulley/core/hold"
+	"turmericpulley/core/types"
+	"turmericpulley/io/group"
+	"turmericpulley/io/wire"
+)
+
+// holding is a database that this instance owns; it is the group's ownership.
+type holding struct {
+	node      *Node
+	database  types.DatabaseID
+	authority *hold.Authority
+	group     *group.Group
+	// acquired is when the ownership was known to have begun.
+	acquired clock.Moment
+
+	mu     sync.Mutex
+	record owned
+	// fenced are the former owners that have confirmed that they do not work any more.
+	fenced map[hold.Holder]bool
+	// ended tells that another instance owns the database now.
+	ended bool
+}
+
+// Authority is the right to work for the database.
+func (h *holding) Authority() *hold.Authority { return h.authority }
+
+// Intended returns the last promotion that an owner recorded.
+func (h *holding) Intended() *hold.Promotion {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.record.Promotion
+}
+
+// MayPromote asks the former owners to stop, unless the time of their authority is over.
+func (h *holding) MayPromote(ctx context.Context) bool {
+	if h.node.settings.Clock.Since(h.acquired) > hold.Duration {
+		return true
+	}
+	h.mu.Lock()
+	former := h.record.Former
+	h.mu.Unlock()
+	all := true
+	for _, f := range former {
+		all = h.fence(ctx, f) && all
+	}
+	return all
+}
+
+// fence asks a former owner to stop; a machine that answers that nothing listens there has no owner either.
+func (h *holding) fence(ctx context.Context, former hold.Holder) bool {
+	h.mu.Lock()
+	done := h.fenced[former]
+	h.mu.Unlock()
+	if done {
+		return true
+	}
+	instance, known := h.node.roster.instance(former.Instance)
+	if !known {
+		return false
+	}
+	reply, err := h.node.call(ctx, instance.PeerAddress, &wire.Call{Kind: &wire.Call_Fence{Fence: &wire.Fence{
+		Database: string(h.database), Epoch: uint64(h.authority.Epoch()),
+	}}})
+	done = err == nil && reply.GetFenced().GetDone() || errors.Is(err, syscall.ECONNREFUSED)
+	h.node.logger.Info("former owner asked to stop", "database", h.database, "former", former.Instance, "stopped", done, "error", err)
+	if done {
+		h.mu.Lock()
+		h.fenced[former] = true
+		h.mu.Unlock()
+	}
+	return done
+}
+
+// Intend records a promotion; its token is the store's revision of the record.
+func (h *holding) Intend(ctx context.Context, promotion hold.Promotion) (types.Epoch, error) {
+	h.mu.Lock()
+	next := h.record
+	h.mu.Unlock()
+	next.Promotion, next.Former = &promotion, nil
+	sent := h.node.settings.Clock.Now()
+	if err := h.write(ctx, next, sent); err != nil {
+		return 0, err
+	}
+	return h.authority.Epoch(), nil
+}
+
+// write replaces the record if it is still the one that is known here.
+func (h *holding) write(ctx context.Context, next owned, sent clock.Moment) error {
+	value, err := next.Encode()
+	if err != nil {
+		return err
+	}
+	revision, err := h.node.store.Put(ctx, ownerKey(h.database), value, next.revision)
+	if err != nil {
+		return h.writeFailed(ctx, next, value, sent, err)
+	}
+	next.revision = revision
+	h.confirm(next, sent)
+	return nil
+}
+
+// writeFailed finds out whether a write whose answer says conflict has taken effect in an earlier attempt.
+func (h *holding) writeFailed(ctx context.Context, next owned, value []byte, sent clock.Moment, cause error) error {
+	if f := fault.From(cause); f == nil || f.Kind != fault.RevisionConflict {
+		return cause
+	}
+	i, found, err := h.node.store.Get(ctx, ownerKey(h.database))
+	if err != nil || !found {
+		return cause
+	}
+	h.node.roster.take(i)
+	if string(i.Value) != string(value) {
+		return cause
+	}
+	next.revision = i.Revision
+	h.confirm(next, sent)
+	return nil
+}
+
+// confirm takes a record that names this instance, read or written by a call that was sent at the moment.
+func (h *holding) confirm(record owned, sent clock.Moment) {
+	h.mu.Lock()
+	if record.revision > h.record.revision {
+		h.record = record
+	}
+	h.mu.Unlock()
+	h.authority.Confirm(types.Epoch(record.revision), sent)
+}
+
+// formerLimit is how long a group whose database was handed over lets open transactions end.
+const formerLimit = 3 * time.Second
--- /dev/null
+++ b/io/node/roster.go
@@ -0,0 +1,131 @@
+package node
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+
+	"turmericpulley/core/fleet"
+	"turmericpulley/core/hold"
+	"turmericpulley/core/types"
+)
+
+// roster holds what the store said of instances and owners; it is safe for concurrent use.
+type roster struct {
+	self fleet.Instance
+
+	mu        sync.Mutex
+	instances map[types.InstanceID]fleet.Instance
+	revisions map[string]types.Revision
+	owners    map[types.DatabaseID]owned
+	changed   chan struct{}
+	// configuration is the operator's newest configuration as the store held it.
+	configuration Item
+}
+
+func newRoster(self fleet.Instance) *roster {
+	return &roster{
+		self: self, instances: map[types.InstanceID]fleet.Instance{self.ID: self}, revisions: map[string]types.Revision{},
+		owners: map[types.DatabaseID]owned{}, changed: make(chan struct{}),
+	}
+}
+
+// take notes an item of the store unless a newer one is known; it reports whether this instance's own entry is missing.
+func (r *roster) take(i Item) (ownMissing bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if i.Revision <= r.revisions[i.Key] {
+		return false
+	}
+	r.revisions[i.Key] = i.Revision
+	defer r.signal()
+	if id, found := strings.CutPrefix(i.Key, instancesPrefix); found {
+		return r.takeInstance(types.InstanceID(id), i)
+	}
+	if database, found := strings.CutPrefix(i.Key, ownersPrefix); found {
+		r.takeOwner(types.DatabaseID(database), i)
+	}
+	return false
+}
+
+func (r *roster) takeInstance(id types.InstanceID, i Item) (ownMissing bool) {
+	if id == r.self.ID {
+		return i.Deleted
+	}
+	instance := fleet.Instance{}
+	if i.Deleted || json.Unmarshal(i.Value, &instance) != nil || instance.ID != id {
+		delete(r.instances, id)
+		return false
+	}
+	r.instances[id] = instance
+	return false
+}
+
+func (r *roster) takeOwner(database types.DatabaseID, i Item) {
+	record, err := hold.Decode(i.Value)
+	if i.Deleted || err != nil {
+		delete(r.owners, database)
+		return
+	}
+	r.owners[database] = owned{record, i.Revision}
+}
+
+// retain forgets the items with the prefix that a complete reading at the revision did not show.
+func (r *roster) retain(prefix string, present []Item, revision types.Revision) {
+	keys := map[string]bool{}
+	for _, i := range present {
+		keys[i.Key] = true
+	}
+	r.mu.Lock()
+	var gone []string
+	for key, known := range r.revisions {
+		if strings.HasPrefix(key, prefix) && !keys[key] && known <= revision {
+			gone = append(gone, key)
+		}
+	}
+	r.mu.Unlock()
+	for _, key := range gone {
+		r.take(Item{Key: key, Revision: revision, Deleted: true})
+	}
+}
+
+// owner returns the record of a database.
+func (r *roster) owner(database types.DatabaseID) (owned, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o, known := r.owners[database]
+	return o, known
+}
+
+// instance returns what an instance said of itself.
+func (r *roster) instance(id types.InstanceID) (fleet.Instance, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i, known := r.instances[id]
+	return i, known
+}
+
+// all returns the known instances by id, this one included.
+func (r *roster) all() []fleet.Instance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := make([]fleet.Instance, 0, len(r.instances))
+	for _, i := range r.instances {
+		all = append(all, i)
+	}
+	slices.SortFunc(all, func(a, b fleet.Instance) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return all
+}
+
+// watch returns a channel that is closed at the next change.
+func (r *roster) watch() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
+func (r *roster) signal() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
--- /dev/null
+++ b/io/node/watches.go
@@ -0,0 +1,139 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"turmericpulley/core/fleet"
+	"turmericpulley/core/hold"
+	"turmericpulley/core/pause"
+	"turmericpulley/core/types"
+	"turmericpulley/io/wire"
+)
+
+const (
+	// watchInterval is the time between two signs of life that a candidate asks an owner for.
+	watchInterval = 300 * time.Millisecond
+	// watchRanks is the number of candidates that watch each owner.
+	watchRanks = 3
+	// suspicionFailures is the number of questions in a row that must stay without an answer.
+	suspicionFailures = 2
+	// witnesses is the number of instances that are asked whether they reach an owner that is silent from here.
+	witnesses = 4
+)
+
+// watches looks after the owners that this instance might have to replace.
+type watches struct {
+	node *Node
+	ctx  context.Context
+	stop context.CancelFunc
+
+	mu   sync.Mutex
+	held map[types.InstanceID]*watch
+}
+
+// watch is one owner that is looked after.
+type watch struct {
+	dead bool
+	// wanted is when anyone asked for it last.
+	wanted time.Time
+}
+
+func newWatches(n *Node) *watches {
+	ctx, stop := context.WithCancel(context.Background())
+	return &watches{node: n, ctx: ctx, stop: stop, held: map[types.InstanceID]*watch{}}
+}
+
+func (w *watches) close() { w.stop() }
+
+// dead reports whether the owner is known to be dead. Candidates of a low rank look after it; the others know only
+// that another run of the instance has taken its place.
+func (w *watches) dead(owner hold.Holder, rank int) bool {
+	n := w.node
+	present, known := n.roster.instance(owner.Instance)
+	if owner.Instance == n.settings.Self.ID {
+		return owner.Incarnation != n.settings.Self.Incarnation
+	}
+	if known && present.Incarnation > owner.Incarnation {
+		return true
+	}
+	if rank >= watchRanks {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	held := w.held[owner.Instance]
+	if held == nil {
+		held = &watch{}
+		w.held[owner.Instance] = held
+		n.running.Go(func() { w.follow(owner.Instance, held) })
+	}
+	held.wanted = time.Now()
+	return held.dead
+}
+
+// follow asks the instance for signs of life as long as anyone wants to know.
+func (w *watches) follow(id types.InstanceID, held *watch) {
+	failures := 0
+	for pause.For(w.ctx, watchInterval) {
+		w.mu.Lock()
+		if time.Since(held.wanted) > 5*time.Second {
+			delete(w.held, id)
+			w.mu.Unlock()
+			return
+		}
+		w.mu.Unlock()
+		instance, known := w.node.roster.instance(id)
+		if known && w.node.alive(w.ctx, instance) {
+			failures = 0
+			w.set(id, held, false)
+			continue
+		}
+		failures++
+		if failures >= suspicionFailures && !w.witnessed(id) {
+			w.set(id, held, true)
+		}
+	}
+}
+
+func (w *watches) set(id types.InstanceID, held *watch, dead bool) {
+	w.mu.Lock()
+	changed := held.dead != dead
+	held.dead = dead
+	w.mu.Unlock()
+	if changed {
+		w.node.logger.Info("owner seen", "instance", id, "dead", dead)
+	}
+}
+
+// witnessed reports whether another instance reaches the one that is silent from here.
+func (w *watches) witnessed(id types.InstanceID) bool {
+	n := w.node
+	var asked sync.WaitGroup
+	answers := make(chan bool, witnesses)
+	count := 0
+	for _, i := range n.roster.all() {
+		if i.ID == n.settings.Self.ID || i.ID == id || count == witnesses {
+			continue
+		}
+		count++
+		asked.Go(func() {
+			reply, err := n.call(w.ctx, i.PeerAddress, &wire.Call{Kind: &wire.Call_Reach{Reach: &wire.Reach{Instance: string(id)}}})
+			answers <- err == nil && reply.GetReached().GetAlive()
+		})
+	}
+	asked.Wait()
+	for range count {
+		if <-answers {
+			return true
+		}
+	}
+	return false
+}
+
+// alive reports whether the instance answers.
+func (n *Node) alive(ctx context.Context, i fleet.Instance) bool {
+	_, err := n.call(ctx, i.PeerAddress, &wire.Call{Kind: &wire.Call_Reach{Reach: &wire.Reach{}}})
+	return err == nil
+}
--- a/io/pgcli/dial.go
+++ b/io/pgcli/dial.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"turmericpulley/core/types"
+	"turmericpulley/io/sock"
 )
 
 // Dial connects to a target and waits until it is ready.
@@ -26,7 +27,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "connecting to target %s", s.Address)
 	}
-	limitSilence(network, silenceTimeout)
+	sock.LimitSilence(network, silenceTimeout)
 	stop := context.AfterFunc(ctx, func() { _ = network.SetDeadline(time.Unix(1, 0)) })
 	c := &Conn{network: network, reader: bufio.NewReaderSize(network, readBufferBytes), address: s.Address}
 	if err := c.start(s); err != nil {
--- a/io/pgcli/quiet_linux.go
+++ b/io/sock/quiet_linux.go
@@ -1,17 +1,15 @@
-package pgcli
+package sock
 
 import (
+	"net"
 	"syscall"
 
 	"golang.org/x/sys/unix"
 )
 
-// Quiet reports whether an idle connection is still open and has sent nothing unasked.
-func (c *Conn) Quiet() bool {
-	if c.Pending() {
-		return false
-	}
-	tcp, ok := c.network.(syscall.Conn)
+// Quiet reports whether a connection is still open and its other end has sent nothing that was not read.
+func Quiet(network net.Conn) bool {
+	tcp, ok := network.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/io/pgcli/silence_linux.go
+++ b/io/sock/silence_linux.go
@@ -1,4 +1,4 @@
-package pgcli
+package sock
 
 import (
 	"net"
@@ -8,8 +8,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// limitSilence makes the kernel end a connection whose sent data stays unacknowledged for the given time.
-func limitSilence(network net.Conn, limit time.Duration) {
+// LimitSilence makes the kernel end a connection whose sent data stays unacknowledged for the given time.
+func LimitSilence(network net.Conn, limit time.Duration) {
 	tcp, ok := network.(syscall.Conn)
 	if !ok {
 		return
