fix: readers of streams do not spin while a session ends

Cause: when a write fails, yamux wakes all streams and waits for its reading side before it closes them; each reader then loops without blocking. Ruled out: the store's watches and the steward, which make system calls in each turn; the processes made none.

Now the reading side always ends the session: a failed write closes the connection and waits, and so does our own close.

--- a/io/peers/conn.go
+++ b/io/peers/conn.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,10 +32,13 @@
 	opened   time.Time
 	// heard is the time from the opening to the last byte received.
 	heard atomic.Int64
+	// closed is closed when the session has noticed the end of the connection.
+	closing sync.Once
+	closed  chan struct{}
 }
 
 func newConn(opened net.Conn, counters *Counters) *conn {
-	return &conn{Conn: opened, counters: counters, opened: time.Now()}
+	return &conn{Conn: opened, counters: counters, opened: time.Now(), closed: make(chan struct{})}
 }
 
 // lastHeard returns when the last byte arrived, or when the connection was opened.
@@ -51,18 +55,39 @@
 	if len(c.pending) == 0 {
 		sent, err := c.Conn.Write(data)
 		c.counters.BytesSent.Add(uint64(sent))
+		c.failed(err)
 		return sent, errors.Wrap(err, "writing to another instance")
 	}
 	c.pending = append(c.pending, data...)
 	sent, err := c.Conn.Write(c.pending)
 	c.counters.BytesSent.Add(uint64(sent))
 	c.pending = c.pending[:0]
+	c.failed(err)
 	if err != nil {
 		return 0, errors.Wrap(err, "writing to another instance")
 	}
 	return len(data), nil
 }
 
+// failed holds a failed write back until the reading side has ended the session. When the writing side ends it, yamux
+// waits for the reading side with its streams woken but not closed, and each of their readers spins until then.
+func (c *conn) failed(err error) {
+	if err == nil {
+		return
+	}
+	c.hangUp()
+	<-c.closed
+}
+
+// hangUp ends the connection, of which the session learns by its reading side.
+func (c *conn) hangUp() { _ = c.Conn.Close() }
+
+// Close is called by the session when it ends.
+func (c *conn) Close() error {
+	c.closing.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
 // Read counts the bytes that arrive and notes when.
 func (c *conn) Read(data []byte) (int, error) {
 	received, err := c.Conn.Read(data)
--- a/io/peers/links.go
+++ b/io/peers/links.go
@@ -50,24 +50,25 @@
 }
 
 // open opens a stream to the instance at the address, once more on a new session when the first has just ended.
-func (l *links) open(ctx context.Context, address string) (*yamux.Stream, error) {
+func (l *links) open(ctx context.Context, address string) (*yamux.Stream, *session, error) {
 	held, err := l.link(address)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	session, err := held.get(ctx)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	stream, err := session.OpenStream()
 	if err == nil {
-		return stream, nil
+		return stream, session, nil
 	}
 	closeQuietly(session)
 	if session, err = held.get(ctx); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	return session.OpenStream()
+	stream, err = session.OpenStream()
+	return stream, session, err
 }
 
 // fresh opens a session of its own to the address.
--- a/io/peers/open.go
+++ b/io/peers/open.go
@@ -30,7 +30,7 @@
 }
 
 func (n *node) open(ctx context.Context, address string, begin *wire.Begin) (*remote, error) {
-	stream, err := n.links.open(ctx, address)
+	stream, session, err := n.links.open(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -38,7 +38,7 @@
 		conn:      stream,
 		codec:     newCodec(stream, n.counters),
 		requestID: types.RequestID(begin.GetRequestId()),
-		abort:     func() { closeQuietly(stream.Session()) },
+		abort:     func() { closeQuietly(session) },
 	}
 	if err = opened.begin(deadlineOf(ctx, openTimeout), begin); err != nil {
 		closeQuietly(stream)
--- a/io/peers/session.go
+++ b/io/peers/session.go
@@ -68,6 +68,14 @@
 	return &session{Session: started, conn: c}, nil
 }
 
+// Close ends the connection and waits until the session has noticed by its reading side, which then closes the streams
+// without a pause in which their readers spin.
+func (s *session) Close() error {
+	s.conn.hangUp()
+	<-s.CloseChan()
+	return nil
+}
+
 // idle returns how long nothing has arrived.
 func (s *session) idle() time.Duration { return time.Since(s.conn.lastHeard()) }
 
--- a/io/peers/transport.go
+++ b/io/peers/transport.go
@@ -46,7 +46,7 @@
 
 // Open opens a channel to the instance at the address.
 func (t *Transport) Open(ctx context.Context, address string) (*Channel, error) {
-	stream, err := t.links.open(ctx, address)
+	stream, _, err := t.links.open(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/io/peers/watch.go
+++ b/io/peers/watch.go
@@ -76,7 +76,7 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	if w.stream == nil {
-		stream, err := w.node.links.open(ctx, w.peer.PeerAddress)
+		stream, _, err := w.node.links.open(ctx, w.peer.PeerAddress)
 		if err != nil {
 			return err
 		}
