--- a/core/place/desk.go
+++ b/core/place/desk.go
@@ -56,9 +56,9 @@
 			return g, nil
 		}
 	}
-	if wait := d.forecast(t, now); n.Pinned == "" && now.Add(wait) > n.Deadline {
+	if wait, hopeless := d.hopeless(t, now); hopeless {
 		d.mu.Unlock()
-		return nil, fault.New(fault.QueueFull, "the work that waits would outlast the request's time").After(retryAfter(wait))
+		return nil, errOverload(wait)
 	}
 	d.waiting = append(d.waiting, t)
 	d.dispatch(now)
@@ -194,6 +194,12 @@
 			t.done <- verdict{grant: d.grant(t, s, now)}
 			continue
 		}
+		if t.band(now) == bandLate {
+			if wait, hopeless := d.hopeless(t, now); hopeless {
+				t.done <- verdict{refusal: errOverload(wait)}
+				continue
+			}
+		}
 		kept = append(kept, t)
 	}
 	clear(d.waiting[len(kept):])
@@ -238,6 +244,10 @@
 
 func retryAfter(wait time.Duration) time.Duration { return time.Duration(retryShare * float64(wait)) }
 
+func errOverload(wait time.Duration) error {
+	return fault.New(fault.QueueFull, "the work that waits would outlast the request's time").After(retryAfter(wait))
+}
+
 func errHandedOver() error {
 	return fault.New(fault.NoOwner, "the database changed hands while the request waited")
 }
--- a/io/node/calls.go
+++ b/io/node/calls.go
@@ -95,38 +95,58 @@
 	node *Node
 }
 
-// Call asks a few instances at once and takes the first usable answer.
+// relayHedge is how long one instance may take before the next one is asked as well.
+const relayHedge = 120 * time.Millisecond
+
+// relayed is what an instance that was asked to call the store answered.
+type relayed struct {
+	status int
+	body   []byte
+	err    error
+}
+
+// Call asks instances one after the other, since each call of the store has its price, and takes the first usable
+// answer.
 func (r *relay) Call(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
 	n := r.node
 	addresses := n.others(relayPeers)
-	type answer struct {
-		status int
-		body   []byte
-		err    error
-	}
-	answers := make(chan answer, len(addresses))
-	for _, address := range addresses {
-		n.running.Go(func() {
-			reply, err := n.call(ctx, address, &wire.Call{Kind: &wire.Call_StoreCall{StoreCall: &wire.StoreCall{
-				Method: method, Path: path, Body: body,
-			}}})
-			stored := reply.GetStoreReply()
-			answers <- answer{int(stored.GetStatus()), stored.GetBody(), err}
-		})
-	}
+	answers := make(chan relayed, len(addresses))
 	last := errors.New("no other instance is known that could call the store")
-	for range addresses {
-		a := <-answers
-		if a.err == nil && a.status != 0 && a.status != http.StatusServiceUnavailable {
-			return a.status, a.body, nil
-		}
-		if a.err != nil {
-			last = a.err
+	asked, answered := 0, 0
+	hedge := time.NewTimer(0)
+	defer hedge.Stop()
+	for answered < len(addresses) {
+		select {
+		case <-hedge.C:
+			if asked < len(addresses) {
+				address := addresses[asked]
+				asked++
+				n.running.Go(func() { answers <- n.callThrough(ctx, address, method, path, body) })
+				hedge.Reset(relayHedge)
+			}
+		case a := <-answers:
+			answered++
+			if a.err == nil && a.status != 0 && a.status != http.StatusServiceUnavailable {
+				return a.status, a.body, nil
+			}
+			if a.err != nil {
+				last = a.err
+			}
+			hedge.Reset(0)
 		}
 	}
 	return 0, nil, errors.Wrap(last, "calling the store through other instances")
 }
 
+// callThrough has the instance at the address call the store.
+func (n *Node) callThrough(ctx context.Context, address, method, path string, body []byte) relayed {
+	reply, err := n.call(ctx, address, &wire.Call{Kind: &wire.Call_StoreCall{StoreCall: &wire.StoreCall{
+		Method: method, Path: path, Body: body,
+	}}})
+	stored := reply.GetStoreReply()
+	return relayed{int(stored.GetStatus()), stored.GetBody(), err}
+}
+
 // serve answers the calls of another instance on one channel.
 func (n *Node) serve(channel *peers.Channel) {
 	visitor := &visitor{node: n}
--- a/io/node/feed.go
+++ b/io/node/feed.go
@@ -42,6 +42,7 @@
 		items, next, err := n.store.Watch(ctx, n.settings.Formats.ConfigurationPrefix, after, configurationWait)
 		if err != nil {
 			after = 0
+			pause.For(ctx, retryPause)
 			continue
 		}
 		for _, i := range items {
--- a/io/node/holder.go
+++ b/io/node/holder.go
@@ -24,6 +24,9 @@
 	holderInterval = 100 * time.Millisecond
 	// claimStep is the time that each rank leaves to the one before it.
 	claimStep = 150 * time.Millisecond
+	// settleAfter is how long an owner stays before it moves its database to the data centre of the primary, and the time
+	// between two such moves.
+	settleAfter = 2 * time.Second
 	// handOverTimeout bounds the handing over of a database at a planned stop.
 	handOverTimeout = time.Second
 )
@@ -93,6 +96,7 @@
 			if !known {
 				h.restore(ctx, held)
 			}
+			h.settle(ctx, held)
 		case known && record.IsOf(h.node.settings.Self):
 			h.adopt(ctx, database)
 		default:
@@ -229,13 +233,6 @@
 		pause.For(ctx, holderInterval)
 		return
 	}
-	held.mu.Lock()
-	record := held.record
-	held.mu.Unlock()
-	n.roster.mu.Lock()
-	n.roster.owners[held.database] = record
-	n.roster.revisions[ownerKey(held.database)] = record.revision
-	n.roster.mu.Unlock()
 }
 
 // lose ends the ownership of a database that another instance has claimed; transactions get a moment to end.
@@ -303,17 +300,38 @@
 	}
 	h.mu.Unlock()
 	for _, one := range held {
-		h.handOver(one)
+		primary, _ := one.group.Primary()
+		h.handOver(h.node.ctx, one, primary.DataCentre)
 	}
 }
 
-// handOver names a living instance as the next owner.
-func (h *holder) handOver(held *holding) {
+// settle moves a database to an instance in the data centre of its primary, which saves every statement a way between
+// data centres.
+func (h *holder) settle(ctx context.Context, held *holding) {
 	n := h.node
-	ctx, cancel := context.WithTimeout(n.ctx, handOverTimeout)
+	primary, open := held.group.Primary()
+	here := n.settings.Self.DataCentre
+	if !open || primary.DataCentre == here || primary.Leaving || n.settings.Clock.Since(held.acquired) < settleAfter ||
+		n.settings.Clock.Since(held.moved) < settleAfter || h.isLeaving() {
+		return
+	}
+	held.moved = n.settings.Clock.Now()
+	for _, i := range n.roster.all() {
+		if i.DataCentre == primary.DataCentre {
+			h.handOver(ctx, held, primary.DataCentre)
+			return
+		}
+	}
+}
+
+// handOver names a living instance as the next owner, one in the data centre when there is any.
+func (h *holder) handOver(ctx context.Context, held *holding, dataCentre types.DataCentre) {
+	n := h.node
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
 	membership := fleet.Membership{Instances: n.roster.all()}
-	for _, i := range membership.Ranked(policy.Database{Database: held.database}) {
+	subject := policy.Database{Database: held.database, Members: []policy.Member{{DataCentre: dataCentre}}}
+	for _, i := range membership.Ranked(subject) {
 		if i.ID == n.settings.Self.ID || !n.alive(ctx, i) {
 			continue
 		}
--- a/io/node/holding.go
+++ b/io/node/holding.go
@@ -24,6 +24,8 @@
 	group     *group.Group
 	// acquired is when the ownership was known to have begun.
 	acquired clock.Moment
+	// moved is when this instance last tried to hand the database to an instance nearer to the primary.
+	moved clock.Moment
 
 	mu     sync.Mutex
 	record owned
@@ -107,6 +109,7 @@
 		return h.writeFailed(ctx, next, value, sent, err)
 	}
 	next.revision = revision
+	h.node.roster.take(Item{Key: ownerKey(h.database), Value: value, Revision: revision})
 	h.confirm(next, sent)
 	return nil
 }
