--- a/core/place/desk.go
+++ b/core/place/desk.go
@@ -24,6 +24,8 @@
 	open bool
 	// back is when a primary is expected to be open again.
 	back    clock.Moment
+	// retired desks serve only open transactions, closed ones nothing.
+	retired bool
 	closed  bool
 	waiting []*ticket
 	history History
@@ -93,6 +95,14 @@
 	d.dispatch(d.clock.Now())
 }
 
+// Retire refuses all but the statements of open transactions.
+func (d *Desk) Retire() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.retired = true
+	d.dispatch(d.clock.Now())
+}
+
 // Close refuses all that wait or come later.
 func (d *Desk) Close() {
 	d.mu.Lock()
@@ -135,7 +145,7 @@
 
 // refuse returns why the need cannot be served at all, or nil.
 func (d *Desk) refuse(n Need, now clock.Moment) error {
-	if d.closed {
+	if d.closed || d.retired && n.Pinned == "" {
 		return errHandedOver()
 	}
 	if n.Pinned != "" || n.Replicas || d.open {
--- /dev/null
+++ b/io/check/platform_test.go
@@ -0,0 +1,381 @@
+package check_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"turmericpulley/io/check"
+	"turmericpulley/io/fakepl"
+)
+
+// site is a platform with instances as separate processes.
+type site struct {
+	*fakepl.Site
+	boots     []fakepl.Boot
+	processes []*check.Process
+}
+
+func newSite(t *testing.T, instances int, lag time.Duration) *site {
+	t.Helper()
+	platform, err := fakepl.NewSite(lag)
+	require.NoError(t, err)
+	t.Cleanup(platform.Close)
+	s := &site{Site: platform}
+	for i := range instances {
+		name := fmt.Sprintf("n%d", i+1)
+		boot, err := platform.WriteBoot(t.TempDir(), name, 4)
+		require.NoError(t, err)
+		s.boots = append(s.boots, boot)
+		s.processes = append(s.processes, check.NewProcess(t, name, "instance", "--settings="+boot.Path))
+	}
+	for i := range s.boots {
+		s.awaitService(t, i)
+	}
+	return s
+}
+
+// awaitService waits until the instance is ready and serves.
+func (s *site) awaitService(t *testing.T, instance int) {
+	t.Helper()
+	require.Eventually(t, func() bool { return s.ready(instance) == http.StatusOK }, 15*time.Second, 20*time.Millisecond)
+	require.Eventually(t, func() bool {
+		c, err := fakepl.Dial(s.boots[instance].Callers, "primary")
+		if err != nil {
+			return false
+		}
+		defer c.Close()
+		a, err := c.Query("READ warm")
+		return err == nil && a.Code == ""
+	}, 15*time.Second, 50*time.Millisecond)
+}
+
+func (s *site) ready(instance int) int {
+	response, err := http.Get("http://" + s.boots[instance].Ready + "/ready")
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+func (s *site) dial(t *testing.T, instance int, database string) *fakepl.Client {
+	t.Helper()
+	c, err := fakepl.Dial(s.boots[instance].Callers, database)
+	require.NoError(t, err)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func ask(t *testing.T, c *fakepl.Client, text string) fakepl.Answer {
+	t.Helper()
+	a, err := c.Query(text)
+	require.NoError(t, err)
+	require.Empty(t, a.Code, "%s: %s %s", text, a.Code, a.Text)
+	return a
+}
+
+// TestThePlatformServesAllKinds plays sessions of all three kinds through three processes.
+func TestThePlatformServesAllKinds(t *testing.T) {
+	s := newSite(t, 3, 300*time.Millisecond)
+	for instance := range 3 {
+		item := fmt.Sprintf("k%d", instance)
+		own := s.dial(t, instance, "own")
+		require.Contains(t, ask(t, own, "WRITE "+item+" first value").Signature, "sig.")
+		require.Equal(t, "value=first value", ask(t, own, "READ "+item).Rows[0], "a session reads its own commit")
+		other := s.dial(t, (instance+1)%3, "primary")
+		require.Equal(t, "value=first value", ask(t, other, "READ "+item).Rows[0], "primary routes show every commit")
+
+		require.Equal(t, "-", ask(t, own, "PARSE s1 WRITE w").Signature)
+		require.Equal(t, "-", ask(t, own, "PARSE s2 READ r").Signature)
+		require.Equal(t, "-", ask(t, own, "SET zone a b").Signature)
+		require.Equal(t, "T", ask(t, own, "BEGIN").State)
+		ask(t, own, "EXECUTE s1 "+item+" second")
+		require.Equal(t, []string{"value=second", "zone=a b"}, ask(t, own, "EXECUTE s2 "+item).Rows)
+		require.Equal(t, "value=first value", ask(t, other, "READ "+item).Rows[0], "an open transaction is not seen")
+		require.Equal(t, "I", ask(t, own, "COMMIT").State)
+		require.Equal(t, "value=second", ask(t, own, "READ "+item).Rows[0])
+
+		ask(t, own, "BEGIN")
+		ask(t, own, "WRITE "+item+" third")
+		require.Equal(t, "I", ask(t, own, "ROLLBACK").State)
+		require.Equal(t, "value=second", ask(t, other, "READ "+item).Rows[0])
+
+		bounded := s.dial(t, instance, "bounded")
+		ask(t, bounded, "BEGIN READ")
+		ask(t, bounded, "READ "+item)
+		require.Equal(t, "I", ask(t, bounded, "COMMIT").State)
+		plain := s.dial(t, instance, "own")
+		require.Len(t, ask(t, plain, "READ "+item).Rows, 1, "values of another session do not show")
+	}
+}
+
+// TestBadInputHarmsOnlyItsSender sends what the platform's pages do not allow.
+func TestBadInputHarmsOnlyItsSender(t *testing.T) {
+	s := newSite(t, 1, 10*time.Millisecond)
+	_, err := fakepl.Dial(s.boots[0].Callers, "unknown")
+	require.ErrorContains(t, err, "NODB")
+	good, bad := s.dial(t, 0, "primary"), s.dial(t, 0, "primary")
+	for line, code := range map[string]string{
+		"QUERY": "MALFORMED", "QUERY 1 JUMP": "MALFORMED", "HELLO": "MALFORMED", "QUERY - READ a": "MALFORMED",
+		"QUERY 2 EXECUTE none a": "NOSTMT", "QUERY 3 COMMIT": "MALFORMED", "QUERY 4 WRITE a": "MALFORMED",
+	} {
+		a, err := bad.Raw(line)
+		require.NoError(t, err)
+		require.Equal(t, code, a.Code, line)
+		require.Equal(t, "I", a.State, line)
+	}
+	ask(t, bad, "READ a")
+	long, err := fakepl.Dial(s.boots[0].Callers, "primary")
+	require.NoError(t, err)
+	a, _ := long.Raw("QUERY 5 WRITE a " + string(make([]byte, 2<<20)))
+	require.NotEqual(t, "", a.Code+a.Text+"closed")
+	s.Store.Put("servers/i-9", []byte(`{"backend":"db1","address":7}`))
+	s.Store.Put("servers/i-8", []byte("not JSON"))
+	s.Store.Put("op/config", []byte("not JSON"))
+	time.Sleep(1200 * time.Millisecond)
+	ask(t, good, "WRITE a 1")
+}
+
+// writer writes increasing numbers until it is told to stop, and keeps what was acknowledged.
+type writer struct {
+	acknowledged []string
+	unknown      int
+	refused      int
+	longestGap   time.Duration
+}
+
+func (w *writer) run(s *site, instance int, stop <-chan struct{}) {
+	var c *fakepl.Client
+	last := time.Now()
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			if c != nil {
+				c.Close()
+			}
+			return
+		default:
+		}
+		if c == nil {
+			var err error
+			if c, err = fakepl.Dial(s.boots[instance].Callers, "primary"); err != nil {
+				time.Sleep(20 * time.Millisecond)
+				continue
+			}
+		}
+		a, err := c.Query(fmt.Sprintf("WRITE w%d-%d x", instance, n))
+		switch {
+		case err != nil:
+			w.unknown++
+			c.Close()
+			c = nil
+		case a.Code == "":
+			w.acknowledged = append(w.acknowledged, a.ID)
+			w.longestGap = max(w.longestGap, time.Since(last))
+			last = time.Now()
+		case a.Code == "INDOUBT" || a.Code == "TIMEOUT":
+			w.unknown++
+		default:
+			w.refused++
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+// play runs writers at the instances while the trouble happens.
+func (s *site) play(span time.Duration, trouble func(), instances ...int) []*writer {
+	stop := make(chan struct{})
+	var running sync.WaitGroup
+	writers := make([]*writer, 0, len(instances))
+	for _, i := range instances {
+		w := &writer{}
+		writers = append(writers, w)
+		running.Go(func() { w.run(s, i, stop) })
+	}
+	time.Sleep(500 * time.Millisecond)
+	trouble()
+	time.Sleep(span)
+	close(stop)
+	running.Wait()
+	return writers
+}
+
+// requireOnce checks that acknowledged writes ran exactly once.
+func (s *site) requireOnce(t *testing.T, writers []*writer) {
+	t.Helper()
+	for _, w := range writers {
+		require.NotEmpty(t, w.acknowledged)
+		for _, id := range w.acknowledged {
+			require.Equal(t, 1, s.Group.Runs(id), "write %s", id)
+		}
+	}
+}
+
+func TestACrashedPrimaryIsReplaced(t *testing.T) {
+	s := newSite(t, 3, 0)
+	writers := s.play(4*time.Second, func() { s.Group.Member("i-1").Crash() }, 0, 1, 2)
+	s.requireOnce(t, writers)
+	require.NotEqual(t, "i-1", s.Group.Primary())
+	require.Len(t, s.Group.Tokens(), 1)
+	for _, w := range writers {
+		require.Less(t, w.longestGap, 3*time.Second)
+	}
+}
+
+func TestALeavingPrimaryIsReplacedWithoutLoss(t *testing.T) {
+	s := newSite(t, 2, 50*time.Millisecond)
+	writers := s.play(4*time.Second, func() { s.Group.Member("i-1").Drain() }, 0, 1)
+	s.requireOnce(t, writers)
+	require.NotEqual(t, "i-1", s.Group.Primary())
+	for _, w := range writers {
+		require.Zero(t, w.unknown)
+	}
+}
+
+func TestAnInstanceThatStopsCutsNothing(t *testing.T) {
+	s := newSite(t, 3, 10*time.Millisecond)
+	owner := 0
+	for i, p := range s.processes {
+		if containsClaim(p.Log()) {
+			owner = i
+		}
+	}
+	others := []int{(owner + 1) % 3, (owner + 2) % 3}
+	open := s.dial(t, owner, "primary")
+	ask(t, open, "BEGIN")
+	ask(t, open, "WRITE open 1")
+	writers := s.play(3*time.Second, func() {
+		s.processes[owner].Terminate()
+		time.Sleep(300 * time.Millisecond)
+		require.NotEqual(t, http.StatusOK, s.ready(owner))
+		require.Equal(t, "I", ask(t, open, "COMMIT").State, "an open transaction gets its time to end")
+	}, others...)
+	s.requireOnce(t, writers)
+	require.Equal(t, 0, s.processes[owner].WaitExit())
+	for _, w := range writers {
+		require.Zero(t, w.unknown)
+		require.Less(t, w.longestGap, time.Second)
+	}
+}
+
+func containsClaim(log string) bool {
+	for _, line := range []string{"database claimed", "database taken over"} {
+		if len(log) > 0 && strings.Contains(log, line) {
+			return true
+		}
+	}
+	return false
+}
+
+func TestAKilledOwnerIsReplaced(t *testing.T) {
+	s := newSite(t, 3, 10*time.Millisecond)
+	owner := 0
+	for i, p := range s.processes {
+		if containsClaim(p.Log()) {
+			owner = i
+		}
+	}
+	writers := s.play(4*time.Second, func() { s.processes[owner].Kill() }, (owner+1)%3, (owner+2)%3)
+	s.requireOnce(t, writers)
+	for _, w := range writers {
+		require.Less(t, w.longestGap, 3*time.Second)
+	}
+	s.processes[owner].Start()
+	s.awaitService(t, owner)
+}
+
+// TestASuspendedOwnerDoesNothingAfterItsReplacement stops the owner for longer than its replacement takes. It must not
+// send another promotion, and its answers must be true.
+func TestASuspendedOwnerDoesNothingAfterItsReplacement(t *testing.T) {
+	s := newSite(t, 3, 0)
+	owner := 0
+	for i, p := range s.processes {
+		if containsClaim(p.Log()) {
+			owner = i
+		}
+	}
+	writers := s.play(6*time.Second, func() {
+		s.processes[owner].Pause()
+		time.Sleep(2500 * time.Millisecond)
+		s.Group.Member("i-1").Crash()
+		time.Sleep(time.Second)
+		s.processes[owner].Resume()
+	}, 0, 1, 2)
+	s.requireOnce(t, writers)
+	require.NotEqual(t, "i-1", s.Group.Primary())
+	tokens := s.Group.Tokens()
+	for i := 1; i < len(tokens); i++ {
+		require.GreaterOrEqual(t, tokens[i], tokens[i-1], "tokens never go back")
+	}
+}
+
+func TestServiceGoesOnWithoutTheStore(t *testing.T) {
+	s := newSite(t, 3, 10*time.Millisecond)
+	calls := 0
+	writers := s.play(5*time.Second, func() {
+		s.Store.Answer(http.StatusServiceUnavailable)
+		calls = s.Store.Calls()
+		time.AfterFunc(4*time.Second, func() { s.Store.Answer(0) })
+	}, 0, 1, 2)
+	s.requireOnce(t, writers)
+	for _, w := range writers {
+		require.Zero(t, w.unknown)
+		require.Less(t, w.longestGap, 500*time.Millisecond)
+	}
+	require.Less(t, s.Store.Calls()-calls, 400, "no stampede while the store is away or on its return")
+}
+
+func TestALostRecordIsWrittenAgain(t *testing.T) {
+	s := newSite(t, 2, 10*time.Millisecond)
+	writers := s.play(3*time.Second, func() {
+		s.Store.Delete("turmericpulley/owners/db1")
+		s.Store.Compact()
+	}, 0, 1)
+	s.requireOnce(t, writers)
+	require.NotEmpty(t, s.Store.Value("turmericpulley/owners/db1"))
+}
+
+func TestConfigurationsAreInForceSoon(t *testing.T) {
+	s := newSite(t, 2, 10*time.Millisecond)
+	for version := 2; version < 12; version++ {
+		s.Configure(version, 800, fmt.Sprintf("added%d", version))
+		time.Sleep(60 * time.Millisecond)
+	}
+	for i := range s.boots {
+		require.Eventually(t, func() bool {
+			c, err := fakepl.Dial(s.boots[i].Callers, "added11")
+			if err == nil {
+				c.Close()
+			}
+			return err == nil
+		}, 3*time.Second, 20*time.Millisecond)
+		_, err := fakepl.Dial(s.boots[i].Callers, "added5")
+		require.ErrorContains(t, err, "NODB")
+	}
+}
+
+// TestLostAnswersAreToldAsUnknown lets the primary run statements without an answer.
+func TestLostAnswersAreToldAsUnknown(t *testing.T) {
+	s := newSite(t, 1, 0)
+	c := s.dial(t, 0, "primary")
+	ask(t, c, "WRITE a 1")
+	s.Group.Member("i-1").LoseReplies(true)
+	a, err := c.Query("WRITE a 2")
+	require.NoError(t, err)
+	require.Equal(t, "INDOUBT", a.Code)
+	require.Equal(t, 1, s.Group.Runs(a.ID), "it ran, so that a promise would have been untrue")
+	ask(t, c, "BEGIN")
+	a, err = c.Query("WRITE a 3")
+	require.NoError(t, err)
+	require.Equal(t, "ABORTED", a.Code)
+	require.Equal(t, 0, s.Group.Runs(a.ID))
+	s.Group.Member("i-1").LoseReplies(false)
+	ask(t, c, "ROLLBACK")
+	ask(t, c, "WRITE a 4")
+}
--- /dev/null
+++ b/io/fakepl/boot.go
@@ -0,0 +1,43 @@
+package fakepl
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+)
+
+// Boot is the settings file of one instance, as the platform writes it.
+type Boot struct {
+	Path    string
+	Callers string
+	Ready   string
+}
+
+// WriteBoot writes the settings of an instance whose addresses are free ports on loopback.
+func (s *Site) WriteBoot(directory, name string, graceS float64) (Boot, error) {
+	addresses := make([]string, 0, 3)
+	for range 3 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return Boot{}, err
+		}
+		addresses = append(addresses, l.Addr().String())
+		if err := l.Close(); err != nil {
+			return Boot{}, err
+		}
+	}
+	value, err := json.Marshal(map[string]any{
+		"nodeName": name, "role": "instance", "ip": "127.0.0.1", "zone": "z1", "region": "r1",
+		"listenAddrs": map[string]string{"frontend": addresses[0], "ready": addresses[1], "control": addresses[2]},
+		"seeds":       []string{}, "bootstrap": true, "heartbeatMs": 1200, "limits": map[string]any{"memoryMb": 284},
+		"bounds":   map[string]any{"graceS": graceS, "drainMs": 7000, "somethingNew": true},
+		"platform": map[string]any{"address": s.addr}, "cloud": map[string]any{"address": s.addr},
+	})
+	if err != nil {
+		return Boot{}, fmt.Errorf("encoding settings: %w", err)
+	}
+	path := filepath.Join(directory, name+".json")
+	return Boot{Path: path, Callers: addresses[0], Ready: addresses[1]}, os.WriteFile(path, value, 0o600)
+}
--- /dev/null
+++ b/io/fakepl/site.go
@@ -0,0 +1,75 @@
+package fakepl
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Site is a platform with one database, whose three routes are named after their kinds: primary, bounded and own.
+type Site struct {
+	Store  *Store
+	Group  *Group
+	server *http.Server
+	addr   string
+}
+
+// Bounds of the routes of a site, in milliseconds.
+const (
+	boundedAge = 1500
+	ownAge     = 2500
+)
+
+// NewSite starts a platform and a database of three members on loopback.
+func NewSite(lag time.Duration) (*Site, error) {
+	s := &Site{Store: NewStore()}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s.addr = listener.Addr().String()
+	s.server = &http.Server{Handler: s.Store, ReadHeaderTimeout: time.Second}
+	go func() { _ = s.server.Serve(listener) }()
+	if s.Group, err = NewGroup(s.Store, "db1", lag, "i-1", "i-2", "i-3"); err != nil {
+		return nil, err
+	}
+	s.Store.Promote = func(_ string, token uint64, _, member string) int { return s.Group.Promote(token, member) }
+	s.Configure(1, 800)
+	return s, nil
+}
+
+// Configure writes a version of the configuration; extra routes lead to the same database.
+func (s *Site) Configure(version, timeoutMs int, extra ...string) {
+	routes := []map[string]any{}
+	add := func(name, kind string, age int) {
+		routes = append(routes, map[string]any{
+			"name": "r-" + name, "database": name, "type": kind, "timeoutMs": timeoutMs, "targetLatencyMs": 200, "priority": 1,
+			"backend": s.Group.Name, "maxStalenessMs": age,
+		})
+	}
+	add("primary", "primary", 0)
+	add("bounded", "bounded_staleness", boundedAge)
+	add("own", "read_your_writes", ownAge)
+	for _, name := range extra {
+		add(name, "primary", 0)
+	}
+	value, err := json.Marshal(map[string]any{
+		"version": version, "routes": routes,
+		"backends": []map[string]any{{"name": s.Group.Name, "maxConns": 16, "syncReplicas": 0}},
+		"limits":   map[string]any{"txIdleMs": 3000},
+	})
+	if err != nil {
+		panic(err)
+	}
+	s.Store.Put("op/config", value)
+}
+
+// Address returns the address of the platform.
+func (s *Site) Address() string { return s.addr }
+
+// Close ends everything.
+func (s *Site) Close() {
+	_ = s.server.Close()
+	s.Group.Close()
+}
--- a/io/group/group.go
+++ b/io/group/group.go
@@ -61,7 +61,7 @@
 }
 
 // Retire refuses new work but lets open transactions end.
-func (g *Group) Retire() { g.desk.Close() }
+func (g *Group) Retire() { g.desk.Retire() }
 
 // Database returns the database that the group serves.
 func (g *Group) Database() types.DatabaseID { return g.settings.Database }
--- a/io/node/calls.go
+++ b/io/node/calls.go
@@ -16,7 +16,7 @@
 	// peerTimeout bounds a question to another instance, which answers in a few milliseconds.
 	peerTimeout = 500 * time.Millisecond
 	// relayPeers is the number of instances that are asked to call the store.
-	relayPeers = 3
+	relayPeers = 2
 )
 
 // call asks another instance one question.
--- a/io/node/feed.go
+++ b/io/node/feed.go
@@ -20,8 +20,10 @@
 	fleetWait = 8 * time.Second
 	// batchPause collects changes that follow each other, since each answer of a watch has its price.
 	batchPause = 150 * time.Millisecond
-	// retryPause follows a call that failed.
-	retryPause = 250 * time.Millisecond
+	// retryPause follows a call that failed; it doubles with each further failure up to maxRetryPause, which bounds the
+	// calls of all instances while the store is away and the time until its return is noticed.
+	retryPause    = 250 * time.Millisecond
+	maxRetryPause = time.Second
 )
 
 // feed follows the store.
@@ -29,22 +31,38 @@
 	node *Node
 }
 
+// backoff is the pause after failures in a row.
+type backoff struct {
+	next time.Duration
+}
+
+// wait pauses after a failure.
+func (b *backoff) wait(ctx context.Context) {
+	b.next = min(max(2*b.next, retryPause), maxRetryPause)
+	pause.For(ctx, b.next)
+}
+
+// reset notes a success.
+func (b *backoff) reset() { b.next = 0 }
+
 // followConfiguration keeps the configuration current.
 func (f *feed) followConfiguration(ctx context.Context) {
 	n := f.node
 	var after types.Revision
 	available := true
+	failures := &backoff{}
 	for ctx.Err() == nil {
 		if after == 0 {
-			after = f.readConfiguration(ctx, &available)
+			after = f.readConfiguration(ctx, &available, failures)
 			continue
 		}
 		items, next, err := n.store.Watch(ctx, n.settings.Formats.ConfigurationPrefix, after, configurationWait)
 		if err != nil {
 			after = 0
-			pause.For(ctx, retryPause)
+			failures.wait(ctx)
 			continue
 		}
+		failures.reset()
 		for _, i := range items {
 			f.takeConfiguration(i)
 		}
@@ -56,7 +74,7 @@
 }
 
 // readConfiguration reads the whole configuration, from another instance when the store does not answer.
-func (f *feed) readConfiguration(ctx context.Context, available *bool) types.Revision {
+func (f *feed) readConfiguration(ctx context.Context, available *bool, failures *backoff) types.Revision {
 	n := f.node
 	items, revision, err := n.store.Range(ctx, n.settings.Formats.ConfigurationPrefix)
 	if err == nil {
@@ -65,13 +83,13 @@
 			f.takeConfiguration(i)
 		}
 		if len(items) == 0 {
-			pause.For(ctx, retryPause)
+			failures.wait(ctx)
 		}
 		return revision
 	}
 	f.tellStore(available, false, err.Error())
 	f.askPeers(ctx)
-	pause.For(ctx, retryPause)
+	failures.wait(ctx)
 	return 0
 }
 
@@ -142,6 +160,7 @@
 	n := f.node
 	var after types.Revision
 	announced := false
+	failures := &backoff{}
 	for ctx.Err() == nil {
 		if !announced {
 			announced = f.announce(ctx)
@@ -149,7 +168,7 @@
 		if after == 0 {
 			items, revision, err := n.store.Range(ctx, fleetPrefix)
 			if err != nil {
-				pause.For(ctx, retryPause)
+				failures.wait(ctx)
 				continue
 			}
 			after = revision
@@ -161,9 +180,10 @@
 		items, next, err := n.store.Watch(ctx, fleetPrefix, after, fleetWait)
 		if err != nil {
 			after = 0
-			pause.For(ctx, retryPause)
+			failures.wait(ctx)
 			continue
 		}
+		failures.reset()
 		announced = f.takeFleet(items) && announced
 		after = next
 		if len(items) > 0 {
