--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -19,17 +19,23 @@
 type explainCommand struct {
 	flags   *fleetFlags
 	request string
+	logs    []string
 }
 
 func newExplainCommand(app *kingpin.Application, commands map[string]command) {
 	c := &explainCommand{}
 	clause := app.Command("explain", "Tell what the instances remember of a request.")
 	clause.Arg("request", "Id of the request, in hexadecimal.").Required().StringVar(&c.request)
+	clause.Flag("log", "File with saved log lines of instances to read instead of asking them; may be repeated.").
+		StringsVar(&c.logs)
 	c.flags = newFleetFlags(clause)
 	commands[clause.FullCommand()] = c
 }
 
 func (c *explainCommand) run(out, problems io.Writer) int {
+	if len(c.logs) > 0 {
+		return explainLogs(out, problems, c.request, c.logs)
+	}
 	id, err := trace.ParseID(c.request)
 	if err != nil {
 		return fail(problems, fault.New(fault.InvalidSettings, err.Error()))
--- /dev/null
+++ b/cmd/explainlogs.go
@@ -0,0 +1,83 @@
+package cmd
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+)
+
+// logLine is a line of an instance's log with the fields that it carries.
+type logLine struct {
+	at, instance, message string
+	details               []string
+}
+
+// Fields of log lines that are shown in columns of their own.
+const (
+	timestampField = "@timestamp"
+	messageField   = "@message"
+	levelField     = "@level"
+	instanceField  = "instance"
+	requestField   = "request"
+)
+
+// explainLogs prints what saved logs say of a request, in the order of its lines' times.
+func explainLogs(out, problems io.Writer, request string, paths []string) int {
+	var lines []logLine
+	for _, path := range paths {
+		found, err := linesOf(path, request)
+		if err != nil {
+			return fail(problems, err)
+		}
+		lines = append(lines, found...)
+	}
+	if len(lines) == 0 {
+		_, _ = fmt.Fprintf(problems, "no line of these logs names request %s\n", request)
+		return exitFailed
+	}
+	slices.SortStableFunc(lines, func(a, b logLine) int { return strings.Compare(a.at, b.at) })
+	rows := make([][]string, 0, len(lines))
+	for _, l := range lines {
+		rows = append(rows, []string{l.at, l.instance, l.message, strings.Join(l.details, ", ")})
+	}
+	printTable(out, rows)
+	return exitOK
+}
+
+// linesOf returns the lines of a file that name the request; what stands before a line's JSON is ignored.
+func linesOf(path, request string) ([]logLine, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = file.Close() }()
+	var lines []logLine
+	in := bufio.NewScanner(file)
+	in.Buffer(nil, 1<<20)
+	for in.Scan() {
+		_, text, found := strings.Cut(in.Text(), "{")
+		fields := map[string]any{}
+		if !found || json.Unmarshal([]byte("{"+text), &fields) != nil || fields[requestField] != request {
+			continue
+		}
+		lines = append(lines, newLogLine(fields))
+	}
+	return lines, in.Err()
+}
+
+func newLogLine(fields map[string]any) logLine {
+	l := logLine{at: fmt.Sprint(fields[timestampField]), instance: fmt.Sprint(fields[instanceField]), message: fmt.Sprint(fields[messageField])}
+	for _, name := range slices.Sorted(maps.Keys(fields)) {
+		switch name {
+		case timestampField, instanceField, messageField, requestField, levelField:
+		default:
+			l.details = append(l.details, fmt.Sprintf("%s %v", name, fields[name]))
+		}
+	}
+	return l
+}
--- a/cmd/instance.go
+++ b/cmd/instance.go
@@ -18,6 +18,7 @@
 	"turmericpulley/core/fleet"
 	"turmericpulley/io/front"
 	"turmericpulley/io/logs"
+	"turmericpulley/io/meter"
 	"turmericpulley/io/node"
 	"turmericpulley/platform"
 )
@@ -110,7 +111,9 @@
 		}
 		listeners = append(listeners, l)
 	}
+	m, metrics := openMetrics(s.Metrics, logger)
 	return node.New(node.Settings{
+		Meter: m, Metrics: metrics,
 		Self: fleet.Instance{
 			ID: s.Instance, PeerAddress: s.Peers, DataCentre: s.DataCentre, State: fleet.Live,
 			Incarnation: fleet.Incarnation(time.Now().UnixMilli()),
@@ -130,3 +133,22 @@
 		MaxConnections: platformSessions,
 	}), nil
 }
+
+// openMetrics opens the listener for metrics; an instance without it serves callers all the same.
+func openMetrics(address string, logger hclog.Logger) (*meter.Meter, net.Listener) {
+	if address == "" {
+		return nil, nil
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		logger.Warn("no metrics, their port is taken", "error", err)
+		return nil, nil
+	}
+	m, err := meter.New()
+	if err != nil {
+		logger.Warn("no metrics", "error", err)
+		_ = listener.Close()
+		return nil, nil
+	}
+	return m, listener
+}
--- a/core/place/desk.go
+++ b/core/place/desk.go
@@ -23,7 +23,7 @@
 	// open tells that work may go to the primary.
 	open bool
 	// back is when a primary is expected to be open again.
-	back    clock.Moment
+	back clock.Moment
 	// retired desks serve only open transactions, closed ones nothing.
 	retired bool
 	closed  bool
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -11,9 +11,12 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"turmericpulley/core/fault"
 	"turmericpulley/core/pause"
 	"turmericpulley/core/routes"
 	"turmericpulley/core/stmt"
+	"turmericpulley/core/types"
+	"turmericpulley/io/meter"
 )
 
 const (
@@ -38,6 +41,8 @@
 	Routes *routes.Current
 	Router Router
 	Logger hclog.Logger
+	// Meter measures answers by route; nil measures nothing.
+	Meter *meter.Meter
 	// MaxConnections bounds the sessions.
 	MaxConnections int
 }
@@ -56,7 +61,6 @@
 	logger   hclog.Logger
 	counters Counters
 	running  sync.WaitGroup
-	busy     atomic.Int64
 	// stopAt is the Unix time in nanoseconds of the signal to stop, closeAt when idle sessions are closed, and lateAt
 	// when open transactions are.
 	stopAt, closeAt, lateAt atomic.Int64
@@ -157,14 +161,30 @@
 	return stmt.OK, ""
 }
 
-func (s *Server) begin() { s.busy.Add(1) }
-
-func (s *Server) end() { s.busy.Add(-1) }
-
-// failed counts and logs an answer that reports a failure.
-func (s *Server) failed(name routes.Name, id string, r stmt.Reply) {
-	s.counters.Failed.Add(1)
-	s.logger.Info("request answered with an error", "request", id, "route", name, "code", r.Code, "reason", r.Text)
+// answered counts and measures an answer, and logs one that reports a failure; metrics have a series for each route.
+func (s *Server) answered(name routes.Name, id string, r stmt.Reply, elapsed time.Duration) {
+	class := meter.Served
+	switch {
+	case r.Code == stmt.OK:
+		s.counters.Served.Add(1)
+	case r.Code == stmt.OutcomeUnknown || r.Code == stmt.TimedOut:
+		class = meter.Unknown
+	default:
+		class = meter.Refused
+	}
+	customer := types.CustomerID(name)
+	if r.Code != stmt.OK {
+		s.counters.Failed.Add(1)
+		s.logger.Info("request answered with an error", "request", id, "route", name, "code", r.Code, "reason", r.Text,
+			"elapsed", elapsed.String())
+	}
+	if s.settings.Meter == nil {
+		return
+	}
+	s.settings.Meter.RecordRequest(meter.Request{Customer: customer, Class: class, Elapsed: elapsed})
+	if class == meter.Refused {
+		s.settings.Meter.CountRefusal(customer, fault.Kind(r.Code))
+	}
 }
 
 // Stop ends sessions as they become idle, gives open transactions half of the grace to end, and closes the rest.
--- a/io/front/session.go
+++ b/io/front/session.go
@@ -65,7 +65,7 @@
 		switch {
 		case errors.As(err, &malformed):
 			s.server.counters.Malformed.Add(1)
-			if s.answer(stmt.Statement{}, s.fail(stmt.Malformed, malformed.Detail)) != nil {
+			if s.answer(stmt.Statement{}, s.fail(stmt.Malformed, malformed.Detail), time.Now()) != nil {
 				return
 			}
 			continue
@@ -75,9 +75,8 @@
 			s.unreadable(err)
 			return
 		}
-		s.server.begin()
-		err = s.answer(statement, s.run(statement))
-		s.server.end()
+		started := time.Now()
+		err = s.answer(statement, s.run(statement), started)
 		if err != nil {
 			return
 		}
@@ -126,17 +125,14 @@
 }
 
 // answer sends the reply with the session's state.
-func (s *session) answer(statement stmt.Statement, r stmt.Reply) error {
+func (s *session) answer(statement stmt.Statement, r stmt.Reply, started time.Time) error {
 	r.State = s.state
 	if r.Position == (types.LogPosition{}) {
 		r.Position = s.position
 	}
-	if r.Code != stmt.OK {
-		s.server.failed(s.name, statement.ID, r)
-	} else {
-		s.server.counters.Served.Add(1)
-	}
-	return s.caller.Reply(r)
+	err := s.caller.Reply(r)
+	s.server.answered(s.name, statement.ID, r, time.Since(started))
+	return err
 }
 
 // run carries out one statement.
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -29,6 +29,7 @@
 	feed      *feed
 	callers   *front.Server
 	ready     *http.Server
+	metrics   *http.Server
 	stopping  atomic.Bool
 	fetching  atomic.Bool
 	cancel    context.CancelFunc
@@ -49,9 +50,10 @@
 	n.transport = peers.NewTransport(s.Peers, n.serve)
 	n.callers = front.New(front.Settings{
 		Listener: s.Callers, Wrap: s.Wrap, Routes: n.routes, Router: &router{node: n}, Logger: s.Logger,
-		MaxConnections: s.MaxConnections,
+		MaxConnections: s.MaxConnections, Meter: s.Meter,
 	})
 	n.serveReady()
+	n.serveMetrics()
 	n.running.Go(func() { n.feed.followConfiguration(ctx) })
 	n.running.Go(func() { n.feed.followFleet(ctx) })
 	n.running.Go(func() { n.entries.run(ctx) })
@@ -78,6 +80,15 @@
 	n.running.Go(func() { _ = n.ready.Serve(n.settings.HTTP) })
 }
 
+// serveMetrics publishes counters and histograms.
+func (n *Node) serveMetrics() {
+	if n.settings.Metrics == nil || n.settings.Meter == nil {
+		return
+	}
+	n.metrics = &http.Server{ReadHeaderTimeout: probeReadTimeout, Handler: n.settings.Meter.Handler()}
+	n.running.Go(func() { _ = n.metrics.Serve(n.settings.Metrics) })
+}
+
 // Ready reports whether the instance wants callers.
 func (n *Node) Ready() bool { return !n.stopping.Load() && n.routes.Table() != nil }
 
@@ -89,6 +100,9 @@
 	n.callers.Stop(max(n.settings.Grace-stopMargin, time.Second))
 	n.cancel()
 	_ = n.ready.Close()
+	if n.metrics != nil {
+		_ = n.metrics.Close()
+	}
 	n.holder.close()
 	n.transport.Close()
 	n.running.Wait()
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -13,6 +13,7 @@
 	"turmericpulley/core/types"
 	"turmericpulley/io/front"
 	"turmericpulley/io/group"
+	"turmericpulley/io/meter"
 )
 
 // Item is one value of the store.
@@ -57,7 +58,9 @@
 	Callers net.Listener
 	Peers   net.Listener
 	HTTP    net.Listener
+	// Metrics and Meter may be nil.
 	Metrics net.Listener
+	Meter   *meter.Meter
 	Seeds   []string
 	Wrap    func(net.Conn) front.Caller
 	// Store is made with the relay, by which calls go through another instance.
