--- a/cmd/instance.go
+++ b/cmd/instance.go
@@ -61,14 +61,13 @@
 	if settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory)))
 	}
-	lines := logs.New(out)
-	defer lines.Close()
-	logger := hclog.New(&hclog.LoggerOptions{
-		Level: hclog.LevelFromString(c.logLevel), Output: lines, JSONFormat: true,
-	}).With("instance", settings.Instance)
+	beliefs, requests := logs.New(out), logs.New(out)
+	defer beliefs.Close()
+	defer requests.Close()
+	logger := c.logger(beliefs, settings)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	n, err := startNode(settings, logger)
+	n, err := startNode(settings, logger, c.logger(requests, settings))
 	if err != nil {
 		logger.Error("instance not started", "error", err)
 		return exitFailed
@@ -78,6 +77,14 @@
 	return exitOK
 }
 
+// logger returns a logger of JSON lines; each has a ring of its own, so that a flood of one kind of lines leaves the
+// other's alone.
+func (c *instanceCommand) logger(lines io.Writer, s platform.Settings) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{
+		Level: hclog.LevelFromString(c.logLevel), Output: lines, JSONFormat: true,
+	}).With("instance", s.Instance)
+}
+
 // wait returns at the signal to stop; until then it notices changes of the settings file, with or without a signal.
 func (c *instanceCommand) wait(signals <-chan os.Signal, logger hclog.Logger, settings platform.Settings) {
 	ticker := time.NewTicker(reloadInterval)
@@ -102,7 +109,7 @@
 }
 
 // startNode opens the listeners and starts the instance.
-func startNode(s platform.Settings, logger hclog.Logger) (*node.Node, error) {
+func startNode(s platform.Settings, logger, requests hclog.Logger) (*node.Node, error) {
 	listeners := make([]net.Listener, 0, 3)
 	for _, address := range []string{s.Peers, s.Ready, s.Callers} {
 		l, err := net.Listen("tcp", address)
@@ -129,6 +136,7 @@
 		Promoter:       platform.Promoter{Address: s.Promotion, Instance: s.Instance},
 		Clock:          clock.Boot(),
 		Logger:         logger,
+		Requests:       requests,
 		Grace:          s.Grace,
 		MaxConnections: platformSessions,
 	}), nil
--- a/core/place/desk.go
+++ b/core/place/desk.go
@@ -117,13 +117,6 @@
 	}
 }
 
-// Waiting returns the number of statements that wait.
-func (d *Desk) Waiting() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return len(d.waiting)
-}
-
 func (d *Desk) wait(t *ticket) (*Grant, error) {
 	timer := time.NewTimer(d.clock.Until(t.need.Deadline))
 	defer timer.Stop()
--- a/io/group/group.go
+++ b/io/group/group.go
@@ -17,6 +17,7 @@
 type Group struct {
 	settings Settings
 	logger   hclog.Logger
+	requests hclog.Logger
 	desk     *place.Desk
 	budget   *retry.Budget
 	kicks    chan struct{}
@@ -36,7 +37,8 @@
 func New(s Settings) *Group {
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Group{
-		settings: s, logger: s.Logger.With("database", s.Database), desk: place.NewDesk(s.Clock),
+		settings: s, logger: s.Logger.With("database", s.Database),
+		requests: s.Requests.With("database", s.Database), desk: place.NewDesk(s.Clock),
 		budget: retry.NewBudget(), kicks: make(chan struct{}, 1), cancel: cancel,
 		pools: map[types.TargetID]*pool{}, unusable: map[types.TargetID]bool{},
 	}
--- a/io/group/session.go
+++ b/io/group/session.go
@@ -74,7 +74,7 @@
 			if f := fault.From(err); f != nil && f.Kind == fault.NoOwner {
 				return stmt.Reply{}, ErrNotOwner
 			}
-			return s.refused(w, err, last), nil
+			return s.refused(w, need, err, last), nil
 		}
 		reply, run := s.attempt(w, grant, need)
 		if run == ended {
@@ -82,14 +82,14 @@
 		}
 		last = reply
 		if run == lost && !w.repeatable() {
-			g.logger.Warn("outcome unknown", "request", w.Statement.ID, "member", grant.Target, "reason", reply.Text)
+			g.requests.Warn("outcome unknown", "request", w.Statement.ID, "member", grant.Target, "reason", reply.Text)
 			return stmt.Fail(stmt.OutcomeUnknown, "the answer of member "+string(grant.Target)+" is missing: "+reply.Text), nil
 		}
 		need.Avoid = grant.Target
 		if g.settings.Clock.Now() >= need.Deadline || attempt > 0 && !g.budget.Spend() {
 			break
 		}
-		g.logger.Debug("statement tried again", "request", w.Statement.ID, "member", grant.Target, "reason", reply.Text, "code", reply.Code)
+		g.requests.Debug("statement tried again", "request", w.Statement.ID, "member", grant.Target, "reason", reply.Text, "code", reply.Code)
 	}
 	return s.givenUp(w, last), nil
 }
@@ -99,7 +99,7 @@
 func (w Work) repeatable() bool { return w.reads() || w.Opens || w.OpensRead }
 
 // refused answers a statement that no member was asked to run.
-func (s *Session) refused(w Work, err error, last stmt.Reply) stmt.Reply {
+func (s *Session) refused(w Work, need place.Need, err error, last stmt.Reply) stmt.Reply {
 	text := err.Error()
 	if f := fault.From(err); f != nil {
 		text = string(f.Kind) + ": " + text
@@ -107,14 +107,14 @@
 			text += "; come back in " + f.RetryAfter.Round(time.Millisecond).String()
 		}
 	}
-	s.group.logger.Info("request refused", "request", w.Statement.ID, "reason", text, "before", last.Text,
-		"waiting", s.group.desk.Waiting())
+	s.group.requests.Info("request refused", "request", w.Statement.ID, "reason", text, "before", last.Text,
+		"class", w.Class, "maxAge", w.MaxAge.String(), "state", s.group.desk.Describe(need))
 	return s.failed(w, stmt.Overloaded, text)
 }
 
 // givenUp answers a statement that did not succeed in its attempts and has had no lasting effect.
 func (s *Session) givenUp(w Work, last stmt.Reply) stmt.Reply {
-	s.group.logger.Info("request given up", "request", w.Statement.ID, "code", last.Code, "reason", last.Text)
+	s.group.requests.Info("request given up", "request", w.Statement.ID, "code", last.Code, "reason", last.Text)
 	if last.Code == stmt.Failed || last.Code == stmt.TimedOut {
 		return s.failed(w, last.Code, last.Text)
 	}
@@ -271,6 +271,6 @@
 	if w.Inside {
 		r.State = stmt.Broken
 	}
-	g.logger.Info("request failed at member", "request", w.Statement.ID, "member", grant.Target, "code", r.Code, "reason", r.Text)
+	g.requests.Info("request failed at member", "request", w.Statement.ID, "member", grant.Target, "code", r.Code, "reason", r.Text)
 	return r, ended
 }
--- a/io/group/settings.go
+++ b/io/group/settings.go
@@ -52,6 +52,8 @@
 	Ownership      Ownership
 	Clock          clock.Clock
 	Logger         hclog.Logger
+	// Requests receives what became of requests, so that many of these do not displace changes of belief.
+	Requests hclog.Logger
 	// Refresh asks for the members' entries to be read again soon.
 	Refresh func()
 	// Witness returns an instance that reaches the member and sees it as primary of the term; nil asks nobody.
--- a/io/group/transaction.go
+++ b/io/group/transaction.go
@@ -17,7 +17,7 @@
 func (s *Session) continued(w Work) stmt.Reply {
 	g, t := s.group, s.pinned
 	if t == nil {
-		g.logger.Info("request rolled back", "request", w.Statement.ID, "reason", "no transaction is open here")
+		g.requests.Info("request rolled back", "request", w.Statement.ID, "reason", "no transaction is open here")
 		return s.failed(w, stmt.RolledBack, "the transaction's connection is gone; nothing of it is kept")
 	}
 	now := g.settings.Clock.Now()
@@ -31,7 +31,7 @@
 		grant, err := g.desk.Acquire(need)
 		if err != nil {
 			s.abandon()
-			g.logger.Info("request rolled back", "request", w.Statement.ID, "reason", err)
+			g.requests.Info("request rolled back", "request", w.Statement.ID, "reason", err)
 			return s.failed(w, stmt.RolledBack, "nothing of the transaction is kept: "+err.Error())
 		}
 		reply, again := s.inside(w, grant, time.Now().Add(g.settings.Clock.Until(need.Deadline)))
@@ -88,10 +88,10 @@
 func (s *Session) cutOff(w Work, detail string) stmt.Reply {
 	s.abandon()
 	if w.Statement.Kind == stmt.Commit {
-		s.group.logger.Warn("outcome unknown", "request", w.Statement.ID, "reason", detail)
+		s.group.requests.Warn("outcome unknown", "request", w.Statement.ID, "reason", detail)
 		return stmt.Fail(stmt.OutcomeUnknown, "the answer to the commit is missing: "+detail)
 	}
-	s.group.logger.Info("request rolled back", "request", w.Statement.ID, "reason", detail)
+	s.group.requests.Info("request rolled back", "request", w.Statement.ID, "reason", detail)
 	return s.failed(w, stmt.RolledBack, "nothing of the transaction is kept: "+detail)
 }
 
@@ -116,7 +116,7 @@
 		return r
 	}
 	s.abandon()
-	s.group.logger.Info("request failed at member", "request", w.Statement.ID, "member", t.target, "code", r.Code, "reason", r.Text)
+	s.group.requests.Info("request failed at member", "request", w.Statement.ID, "member", t.target, "code", r.Code, "reason", r.Text)
 	if r.Code.NotRun() {
 		r.Code = stmt.RolledBack
 	}
--- /dev/null
+++ b/io/logs/writer_test.go
@@ -0,0 +1,60 @@
+package logs_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"turmericpulley/io/logs"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// slow blocks every write until it is let go.
+type slow struct {
+	mu  sync.Mutex
+	out bytes.Buffer
+}
+
+func (s *slow) Write(data []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.out.Write(data)
+}
+
+// TestAFullRingDropsCountsAndNeverWaits writes far more lines than the ring holds while the output stands still.
+func TestAFullRingDropsCountsAndNeverWaits(t *testing.T) {
+	out := &slow{}
+	out.mu.Lock()
+	w := logs.New(out)
+	const lines = 5000
+	began := time.Now()
+	for i := range lines {
+		n, err := fmt.Fprintf(w, "line %d\n", i)
+		require.NoError(t, err)
+		require.Positive(t, n)
+	}
+	require.Less(t, time.Since(began), time.Second)
+	dropped := w.Dropped()
+	require.Greater(t, dropped, uint64(1000))
+	out.mu.Unlock()
+	w.Close()
+	text := out.out.String()
+	require.Contains(t, text, "log lines dropped")
+	require.Equal(t, lines-int(dropped), strings.Count(text, "line "))
+	require.Equal(t, w.Dropped(), dropped)
+}
+
+func TestCloseWritesWhatWaits(t *testing.T) {
+	out := &slow{}
+	w := logs.New(out)
+	_, _ = w.Write([]byte("last\n"))
+	w.Close()
+	require.Equal(t, "last\n", out.out.String())
+}
--- a/io/node/handover_test.go
+++ b/io/node/handover_test.go
@@ -111,7 +111,7 @@
 		Wrap:    func(c net.Conn) front.Caller { return platform.NewCallerConn(c) },
 		Store:   func(relay node.Relay) node.Store { return cutStore{platform.NewStore(direct, nil), &r.away} },
 		Formats: platform.Formats(), Dialer: platform.MemberDialer{Instance: id},
-		Promoter: platform.Promoter{Address: site.Address(), Instance: id}, Clock: clock.Boot(), Logger: hclog.NewNullLogger(),
+		Promoter: platform.Promoter{Address: site.Address(), Instance: id}, Clock: clock.Boot(), Logger: hclog.NewNullLogger(), Requests: hclog.NewNullLogger(),
 		Grace: 2 * time.Second, MaxConnections: 100,
 	})
 	t.Cleanup(func() { r.stop(); direct.Close() })
--- a/io/node/holder.go
+++ b/io/node/holder.go
@@ -209,7 +209,7 @@
 	taken.acquired = n.settings.Clock.Now()
 	taken.group = group.New(group.Settings{
 		Database: database.ID, Self: n.settings.Self, MaxConnections: database.MaxConnections, Dialer: n.settings.Dialer,
-		Promoter: n.settings.Promoter, Ownership: taken, Clock: n.settings.Clock, Logger: n.logger, Refresh: n.entries.refresh,
+		Promoter: n.settings.Promoter, Ownership: taken, Clock: n.settings.Clock, Logger: n.logger, Requests: n.settings.Requests, Refresh: n.entries.refresh,
 		Witness: n.witness,
 		Yield:   func(ctx context.Context, to types.InstanceID) { h.yield(ctx, taken, to) },
 	})
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -50,7 +50,7 @@
 	n.feed = &feed{node: n}
 	n.transport = peers.NewTransport(s.Peers, n.serve)
 	n.callers = front.New(front.Settings{
-		Listener: s.Callers, Wrap: s.Wrap, Routes: n.routes, Router: &router{node: n}, Logger: s.Logger,
+		Listener: s.Callers, Wrap: s.Wrap, Routes: n.routes, Router: &router{node: n}, Logger: s.Requests,
 		MaxConnections: s.MaxConnections, Meter: s.Meter,
 	})
 	n.serveReady()
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -64,12 +64,14 @@
 	Seeds   []string
 	Wrap    func(net.Conn) front.Caller
 	// Store is made with the relay, by which calls go through another instance.
-	Store          func(relay Relay) Store
-	Formats        Formats
-	Dialer         group.Dialer
-	Promoter       group.Promoter
-	Clock          clock.Clock
+	Store    func(relay Relay) Store
+	Formats  Formats
+	Dialer   group.Dialer
+	Promoter group.Promoter
+	Clock    clock.Clock
+	// Logger receives changes of belief, Requests what became of requests.
 	Logger         hclog.Logger
+	Requests       hclog.Logger
 	Grace          time.Duration
 	MaxConnections int
 }
