--- a/core/place/ticket.go
+++ b/core/place/ticket.go
@@ -16,7 +16,7 @@
 	refusal error
 }
 
-// rank orders tickets; lower goes first.
+// before orders tickets.
 //
 // It answers more work than slots: statements of open transactions first, since they hold connections and perhaps
 // locks; then work that can still meet its objective, by priority and then by the time left; then work that is late
