--- a/io/fakepl/group.go
+++ b/io/fakepl/group.go
@@ -27,7 +27,6 @@
 	term    uint64
 	tokens  []uint64
 	runs    map[string]int
-	late    []string
 }
 
 // NewGroup starts a database with members on loopback, the first one as primary, and writes their entries.
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -164,10 +164,10 @@
 // answered counts and measures an answer, and logs one that reports a failure; metrics have a series for each route.
 func (s *Server) answered(name routes.Name, id string, r stmt.Reply, elapsed time.Duration) {
 	class := meter.Served
-	switch {
-	case r.Code == stmt.OK:
+	switch r.Code {
+	case stmt.OK:
 		s.counters.Served.Add(1)
-	case r.Code == stmt.OutcomeUnknown || r.Code == stmt.TimedOut:
+	case stmt.OutcomeUnknown, stmt.TimedOut:
 		class = meter.Unknown
 	default:
 		class = meter.Refused
--- /dev/null
+++ b/io/node/claim.go
@@ -0,0 +1,103 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"turmericpulley/core/fleet"
+	"turmericpulley/core/hold"
+	"turmericpulley/core/pause"
+	"turmericpulley/core/policy"
+	"turmericpulley/core/routes"
+	"turmericpulley/core/types"
+)
+
+func (h *holder) consider(ctx context.Context, database routes.Database, record owned, known bool) {
+	rank := h.rank(database.ID, record)
+	if h.isLeaving() || rank < 0 {
+		return
+	}
+	if known && !h.watches.dead(record.Holder, rank) {
+		h.mu.Lock()
+		delete(h.unowned, database.ID)
+		h.mu.Unlock()
+		return
+	}
+	now := h.node.settings.Clock.Now()
+	h.mu.Lock()
+	since, noted := h.unowned[database.ID]
+	if !noted {
+		since = now
+		h.unowned[database.ID] = now
+	}
+	h.mu.Unlock()
+	if now.Sub(since) < time.Duration(rank)*claimStep {
+		return
+	}
+	h.claim(ctx, database, record)
+}
+
+func (h *holder) rank(database types.DatabaseID, record owned) int {
+	membership := fleet.Membership{Instances: h.node.roster.all()}
+	subject := policy.Database{Database: database}
+	rank := 0
+	for _, i := range membership.Ranked(subject) {
+		if i.ID == h.node.settings.Self.ID {
+			return rank
+		}
+		if i.ID != record.Instance {
+			rank++
+		}
+	}
+	return -1
+}
+
+func (h *holder) claim(ctx context.Context, database routes.Database, record owned) {
+	n := h.node
+	next := owned{record.HandedTo(n.settings.Self), record.revision}
+	taken := h.prepare(database, next)
+	sent := n.settings.Clock.Now()
+	if err := taken.write(ctx, next, sent); err != nil {
+		n.logger.Info("database not claimed", "database", database.ID, "error", err)
+		h.reread(ctx, database.ID)
+		pause.For(ctx, holderInterval)
+		return
+	}
+	n.logger.Info("database claimed", "database", database.ID, "epoch", taken.authority.Epoch(), "before", record.Instance)
+	h.start(database, taken)
+}
+
+func (h *holder) adopt(ctx context.Context, database routes.Database) {
+	n := h.node
+	sent := n.settings.Clock.Now()
+	i, found, err := n.store.Get(ctx, ownerKey(database.ID))
+	if err != nil || !found {
+		n.logger.Warn("ownership not confirmed", "database", database.ID, "error", err)
+		return
+	}
+	record, err := hold.Decode(i.Value)
+	n.roster.take(i)
+	if err != nil || !record.IsOf(n.settings.Self) {
+		return
+	}
+	next := owned{record, i.Revision}
+	taken := h.prepare(database, next)
+	taken.confirm(next, sent)
+	n.logger.Info("database taken over", "database", database.ID, "epoch", taken.authority.Epoch())
+	h.start(database, taken)
+}
+
+func (h *holder) restore(ctx context.Context, held *holding) {
+	n := h.node
+	n.logger.Warn("record of the owner is gone, writing it again", "database", held.database)
+	held.mu.Lock()
+	next := held.record
+	held.mu.Unlock()
+	next.revision = 0
+	if err := held.write(ctx, next, n.settings.Clock.Now()); err != nil {
+		n.logger.Warn("record of the owner not written", "database", held.database, "error", err)
+		h.reread(ctx, held.database)
+		pause.For(ctx, holderInterval)
+		return
+	}
+}
--- /dev/null
+++ b/io/node/handover.go
@@ -0,0 +1,133 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"turmericpulley/core/fleet"
+	"turmericpulley/core/policy"
+	"turmericpulley/core/types"
+	"turmericpulley/io/wire"
+)
+
+const (
+	// settleAfter is how long an owner stays before it moves its database to the data centre of the primary, and the time
+	// between two such moves.
+	settleAfter = 2 * time.Second
+	// settleAfterTakeover is the same for a database that had another owner before, which may be cut from the primary.
+	settleAfterTakeover = 8 * time.Second
+	// offerTimeout bounds the reading of a record by an instance that is asked whether it could own a database.
+	offerTimeout = 300 * time.Millisecond
+	// handOverTimeout bounds the handing over of a database at a planned stop.
+	handOverTimeout = time.Second
+)
+
+func (h *holder) fence(database types.DatabaseID, epoch types.Epoch) bool {
+	held := h.get(database)
+	if held == nil {
+		return true
+	}
+	if held.authority.Epoch() >= epoch {
+		return false
+	}
+	held.authority.Revoke()
+	return true
+}
+
+func (h *holder) leave() {
+	h.mu.Lock()
+	h.leaving = true
+	held := make([]*holding, 0, len(h.holdings))
+	for _, one := range h.holdings {
+		held = append(held, one)
+	}
+	h.mu.Unlock()
+	for _, one := range held {
+		primary, _ := one.group.Primary()
+		h.handOver(h.node.ctx, one, primary.DataCentre)
+	}
+}
+
+func (h *holder) settle(ctx context.Context, held *holding) {
+	n := h.node
+	primary, open := held.group.Primary()
+	here := n.settings.Self.DataCentre
+	calm := settleAfter
+	held.mu.Lock()
+	if len(held.record.Former) > 0 {
+		calm = settleAfterTakeover
+	}
+	held.mu.Unlock()
+	if !open || primary.DataCentre == here || primary.Leaving || n.settings.Clock.Since(held.acquired) < calm ||
+		n.settings.Clock.Since(held.moved) < calm || h.isLeaving() {
+		return
+	}
+	held.moved = n.settings.Clock.Now()
+	for _, i := range n.roster.all() {
+		if i.DataCentre == primary.DataCentre {
+			h.handOver(ctx, held, primary.DataCentre)
+			return
+		}
+	}
+}
+
+func (h *holder) handOver(ctx context.Context, held *holding, dataCentre types.DataCentre) {
+	n := h.node
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	membership := fleet.Membership{Instances: n.roster.all()}
+	subject := policy.Database{Database: held.database, Members: []policy.Member{{DataCentre: dataCentre}}}
+	for _, i := range membership.Ranked(subject) {
+		if i.ID != n.settings.Self.ID && h.name(ctx, held, i) {
+			return
+		}
+	}
+	if dataCentre != "" {
+		h.handOver(ctx, held, "")
+	}
+}
+
+func (h *holder) yield(ctx context.Context, held *holding, to types.InstanceID) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	if i, known := h.node.roster.instance(to); known {
+		h.name(ctx, held, i)
+	}
+}
+
+func (h *holder) name(ctx context.Context, held *holding, next fleet.Instance) bool {
+	n := h.node
+	if !n.offer(ctx, next, held.database, false) {
+		return false
+	}
+	held.mu.Lock()
+	record := owned{held.record.HandedTo(next), held.record.revision}
+	held.mu.Unlock()
+	value, err := record.Encode()
+	if err == nil {
+		record.revision, err = n.store.Put(ctx, ownerKey(held.database), value, record.revision)
+	}
+	n.logger.Info("database handed over", "database", held.database, "to", next.ID, "error", err)
+	if err != nil {
+		return true
+	}
+	n.offer(ctx, next, held.database, true)
+	n.roster.take(Item{Key: ownerKey(held.database), Value: value, Revision: record.revision})
+	return true
+}
+
+func (n *Node) offer(ctx context.Context, to fleet.Instance, database types.DatabaseID, named bool) bool {
+	reply, err := n.call(ctx, to.PeerAddress, &wire.Call{Kind: &wire.Call_Offer{Offer: &wire.Offer{
+		Database: string(database), Named: named,
+	}}})
+	return err == nil && reply.GetOffered().GetAble()
+}
+
+func (h *holder) offered(o *wire.Offer) bool {
+	if h.isLeaving() || h.node.routes.Table() == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(h.node.ctx, offerTimeout)
+	defer cancel()
+	return h.reread(ctx, types.DatabaseID(o.GetDatabase()))
+}
--- a/io/node/holder.go
+++ b/io/node/holder.go
@@ -8,14 +8,11 @@
 	"time"
 
 	"turmericpulley/core/clock"
-	"turmericpulley/core/fleet"
 	"turmericpulley/core/hold"
 	"turmericpulley/core/pause"
-	"turmericpulley/core/policy"
 	"turmericpulley/core/routes"
 	"turmericpulley/core/types"
 	"turmericpulley/io/group"
-	"turmericpulley/io/wire"
 )
 
 const (
@@ -25,15 +22,6 @@
 	holderInterval = 100 * time.Millisecond
 	// claimStep is the time that each rank leaves to the one before it.
 	claimStep = 150 * time.Millisecond
-	// settleAfter is how long an owner stays before it moves its database to the data centre of the primary, and the time
-	// between two such moves.
-	settleAfter = 2 * time.Second
-	// settleAfterTakeover is the same for a database that had another owner before, which may be cut from the primary.
-	settleAfterTakeover = 8 * time.Second
-	// offerTimeout bounds the reading of a record by an instance that is asked whether it could own a database.
-	offerTimeout = 300 * time.Millisecond
-	// handOverTimeout bounds the handing over of a database at a planned stop.
-	handOverTimeout = time.Second
 )
 
 // holder decides for each database whether this instance owns it.
@@ -110,91 +98,10 @@
 	}
 }
 
-func (h *holding) revision() types.Revision {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.record.revision
-}
-
 // consider claims a database that has no living owner when it is this instance's turn.
-func (h *holder) consider(ctx context.Context, database routes.Database, record owned, known bool) {
-	rank := h.rank(database.ID, record)
-	if h.isLeaving() || rank < 0 {
-		return
-	}
-	if known && !h.watches.dead(record.Holder, rank) {
-		h.mu.Lock()
-		delete(h.unowned, database.ID)
-		h.mu.Unlock()
-		return
-	}
-	now := h.node.settings.Clock.Now()
-	h.mu.Lock()
-	since, noted := h.unowned[database.ID]
-	if !noted {
-		since = now
-		h.unowned[database.ID] = now
-	}
-	h.mu.Unlock()
-	if now.Sub(since) < time.Duration(rank)*claimStep {
-		return
-	}
-	h.claim(ctx, database, record)
-}
-
 // rank returns this instance's place among those that may own the database; the present owner does not count.
-func (h *holder) rank(database types.DatabaseID, record owned) int {
-	membership := fleet.Membership{Instances: h.node.roster.all()}
-	subject := policy.Database{Database: database}
-	rank := 0
-	for _, i := range membership.Ranked(subject) {
-		if i.ID == h.node.settings.Self.ID {
-			return rank
-		}
-		if i.ID != record.Instance {
-			rank++
-		}
-	}
-	return -1
-}
-
 // claim writes a record that names this instance.
-func (h *holder) claim(ctx context.Context, database routes.Database, record owned) {
-	n := h.node
-	next := owned{record.HandedTo(n.settings.Self), record.revision}
-	taken := h.prepare(database, next)
-	sent := n.settings.Clock.Now()
-	if err := taken.write(ctx, next, sent); err != nil {
-		n.logger.Info("database not claimed", "database", database.ID, "error", err)
-		h.reread(ctx, database.ID)
-		pause.For(ctx, holderInterval)
-		return
-	}
-	n.logger.Info("database claimed", "database", database.ID, "epoch", taken.authority.Epoch(), "before", record.Instance)
-	h.start(database, taken)
-}
-
 // adopt starts a database whose record names this instance, as after a handover or a claim whose answer was lost.
-func (h *holder) adopt(ctx context.Context, database routes.Database) {
-	n := h.node
-	sent := n.settings.Clock.Now()
-	i, found, err := n.store.Get(ctx, ownerKey(database.ID))
-	if err != nil || !found {
-		n.logger.Warn("ownership not confirmed", "database", database.ID, "error", err)
-		return
-	}
-	record, err := hold.Decode(i.Value)
-	n.roster.take(i)
-	if err != nil || !record.IsOf(n.settings.Self) {
-		return
-	}
-	next := owned{record, i.Revision}
-	taken := h.prepare(database, next)
-	taken.confirm(next, sent)
-	n.logger.Info("database taken over", "database", database.ID, "epoch", taken.authority.Epoch())
-	h.start(database, taken)
-}
-
 func (h *holder) prepare(database routes.Database, record owned) *holding {
 	n := h.node
 	return &holding{
@@ -227,21 +134,6 @@
 }
 
 // restore writes the record again when the store has dropped it.
-func (h *holder) restore(ctx context.Context, held *holding) {
-	n := h.node
-	n.logger.Warn("record of the owner is gone, writing it again", "database", held.database)
-	held.mu.Lock()
-	next := held.record
-	held.mu.Unlock()
-	next.revision = 0
-	if err := held.write(ctx, next, n.settings.Clock.Now()); err != nil {
-		n.logger.Warn("record of the owner not written", "database", held.database, "error", err)
-		h.reread(ctx, held.database)
-		pause.For(ctx, holderInterval)
-		return
-	}
-}
-
 // lose ends the ownership of a database that another instance has claimed; transactions get a moment to end.
 func (h *holder) lose(held *holding, record owned) {
 	h.node.logger.Info("database lost", "database", held.database, "owner", record.Instance, "revision", record.revision)
@@ -287,126 +179,16 @@
 }
 
 // fence ends work under ownerships older than the epoch.
-func (h *holder) fence(database types.DatabaseID, epoch types.Epoch) bool {
-	held := h.get(database)
-	if held == nil {
-		return true
-	}
-	if held.authority.Epoch() >= epoch {
-		return false
-	}
-	held.authority.Revoke()
-	return true
-}
-
 // leave hands all databases to other instances.
-func (h *holder) leave() {
-	h.mu.Lock()
-	h.leaving = true
-	held := make([]*holding, 0, len(h.holdings))
-	for _, one := range h.holdings {
-		held = append(held, one)
-	}
-	h.mu.Unlock()
-	for _, one := range held {
-		primary, _ := one.group.Primary()
-		h.handOver(h.node.ctx, one, primary.DataCentre)
-	}
-}
-
 // settle moves a database to an instance in the data centre of its primary, which saves every statement a way between
 // data centres.
-func (h *holder) settle(ctx context.Context, held *holding) {
-	n := h.node
-	primary, open := held.group.Primary()
-	here := n.settings.Self.DataCentre
-	calm := settleAfter
-	held.mu.Lock()
-	if len(held.record.Former) > 0 {
-		calm = settleAfterTakeover
-	}
-	held.mu.Unlock()
-	if !open || primary.DataCentre == here || primary.Leaving || n.settings.Clock.Since(held.acquired) < calm ||
-		n.settings.Clock.Since(held.moved) < calm || h.isLeaving() {
-		return
-	}
-	held.moved = n.settings.Clock.Now()
-	for _, i := range n.roster.all() {
-		if i.DataCentre == primary.DataCentre {
-			h.handOver(ctx, held, primary.DataCentre)
-			return
-		}
-	}
-}
-
 // handOver names an able instance as the next owner, one in the data centre when there is any.
-func (h *holder) handOver(ctx context.Context, held *holding, dataCentre types.DataCentre) {
-	n := h.node
-	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
-	defer cancel()
-	membership := fleet.Membership{Instances: n.roster.all()}
-	subject := policy.Database{Database: held.database, Members: []policy.Member{{DataCentre: dataCentre}}}
-	for _, i := range membership.Ranked(subject) {
-		if i.ID != n.settings.Self.ID && h.name(ctx, held, i) {
-			return
-		}
-	}
-	if dataCentre != "" {
-		h.handOver(ctx, held, "")
-	}
-}
-
 // yield hands the database to the instance, which reaches a primary that this one does not.
-func (h *holder) yield(ctx context.Context, held *holding, to types.InstanceID) {
-	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
-	defer cancel()
-	if i, known := h.node.roster.instance(to); known {
-		h.name(ctx, held, i)
-	}
-}
-
 // name writes the instance into the record as the next owner if it is able to take over; an instance that is cut from
 // the store would not notice.
-func (h *holder) name(ctx context.Context, held *holding, next fleet.Instance) bool {
-	n := h.node
-	if !n.offer(ctx, next, held.database, false) {
-		return false
-	}
-	held.mu.Lock()
-	record := owned{held.record.HandedTo(next), held.record.revision}
-	held.mu.Unlock()
-	value, err := record.Encode()
-	if err == nil {
-		record.revision, err = n.store.Put(ctx, ownerKey(held.database), value, record.revision)
-	}
-	n.logger.Info("database handed over", "database", held.database, "to", next.ID, "error", err)
-	if err != nil {
-		return true
-	}
-	n.offer(ctx, next, held.database, true)
-	n.roster.take(Item{Key: ownerKey(held.database), Value: value, Revision: record.revision})
-	return true
-}
-
 // offer asks an instance whether it could own the database, or tells it that it does.
-func (n *Node) offer(ctx context.Context, to fleet.Instance, database types.DatabaseID, named bool) bool {
-	reply, err := n.call(ctx, to.PeerAddress, &wire.Call{Kind: &wire.Call_Offer{Offer: &wire.Offer{
-		Database: string(database), Named: named,
-	}}})
-	return err == nil && reply.GetOffered().GetAble()
-}
-
 // offered answers whether this instance could own the database. The record is read from the store in both cases, which
 // also shows whether the store answers.
-func (h *holder) offered(o *wire.Offer) bool {
-	if h.isLeaving() || h.node.routes.Table() == nil {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(h.node.ctx, offerTimeout)
-	defer cancel()
-	return h.reread(ctx, types.DatabaseID(o.GetDatabase()))
-}
-
 // close ends all holdings.
 func (h *holder) close() {
 	h.mu.Lock()
--- a/io/node/holding.go
+++ b/io/node/holding.go
@@ -31,8 +31,6 @@
 	record owned
 	// fenced are the former owners that have confirmed that they do not work any more.
 	fenced map[hold.Holder]bool
-	// ended tells that another instance owns the database now.
-	ended bool
 }
 
 // Authority is the right to work for the database.
@@ -132,6 +130,13 @@
 	return nil
 }
 
+// revision returns the store's revision of the record.
+func (h *holding) revision() types.Revision {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.record.revision
+}
+
 // confirm takes a record that names this instance, read or written by a call that was sent at the moment.
 func (h *holding) confirm(record owned, sent clock.Moment) {
 	h.mu.Lock()
