fix: a stopping owner offers its databases until one instance is able; elections with synchronous replicas

It now asks again every 100 ms while it stops; the bound of the test is the grace of the stop. Second: with syncReplicas a member is promoted only when it surely holds every acknowledged commit. Comments that a split of files had left behind are back with their functions.

--- /dev/null
+++ b/core/place/electable_test.go
@@ -0,0 +1,24 @@
+package place_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"turmericpulley/core/place"
+)
+
+func TestOnlyAMemberWithAllAcknowledgedCommitsIsElected(t *testing.T) {
+	for name, test := range map[string]struct {
+		election place.Election
+		want     bool
+	}{
+		"asynchronous":                           {place.Election{Members: 2, Answered: 1, Longest: at(3), Acknowledged: at(9)}, true},
+		"all answered":                           {place.Election{SyncReplicas: 1, Members: 2, Answered: 2, Longest: at(3)}, true},
+		"one is silent and might hold more":      {place.Election{SyncReplicas: 1, Members: 2, Answered: 1, Longest: at(8), Acknowledged: at(9)}, false},
+		"one is silent, the other holds all":     {place.Election{SyncReplicas: 1, Members: 2, Answered: 1, Longest: at(9), Acknowledged: at(9)}, true},
+		"one is silent, the owner knows nothing": {place.Election{SyncReplicas: 1, Members: 2, Answered: 1, Longest: at(9)}, false},
+	} {
+		require.Equal(t, test.want, test.election.Electable(), name)
+	}
+}
--- a/io/fakepl/member.go
+++ b/io/fakepl/member.go
@@ -148,10 +148,6 @@
 	return fmt.Sprintf("%d.%d", last.term, last.number)
 }
 
-// session is one connection.
-// run carries out one statement and queues the answer.
-// statement carries out a statement without its prefix.
-// read answers with the item's value and, in further rows, the session's values, so that tests see both.
 // keep appends a commit to the primary's log and to those of the replicas.
 func (m *Member) keep(items map[string]string, ids ...string) {
 	g := m.group
@@ -167,5 +163,3 @@
 		}
 	}
 }
-
-// before compares two positions.
--- a/io/fakepl/session.go
+++ b/io/fakepl/session.go
@@ -8,6 +8,7 @@
 	"time"
 )
 
+// session is one connection.
 type session struct {
 	member   *Member
 	conn     net.Conn
@@ -87,6 +88,7 @@
 	s.line("ERROR", code, s.member.ID)
 }
 
+// run carries out one statement and queues the answer.
 func (s *session) run(id, text string) {
 	defer s.ready()
 	g, m := s.member.group, s.member
@@ -109,6 +111,7 @@
 	s.statement(id, verb, rest)
 }
 
+// statement carries out a statement without its prefix.
 func (s *session) statement(id, verb, rest string) {
 	m, g := s.member, s.member.group
 	switch verb {
@@ -167,6 +170,7 @@
 	s.read(item)
 }
 
+// read answers with the item's value and, in further rows, the session's values, so that tests see both.
 func (s *session) read(item string) {
 	s.busy()
 	m, g := s.member, s.member.group
@@ -247,6 +251,7 @@
 	<-s.member.slots
 }
 
+// before compares two positions.
 func before(a, b string) bool {
 	at, an, _ := strings.Cut(a, ".")
 	bt, bn, _ := strings.Cut(b, ".")
--- a/io/front/deliver.go
+++ b/io/front/deliver.go
@@ -21,6 +21,7 @@
 	reroutePause = 20 * time.Millisecond
 )
 
+// forward sends a statement to the owner of the database and takes what its answer changes.
 func (s *session) forward(statement stmt.Statement) stmt.Reply {
 	if s.state == stmt.Idle {
 		if r, ok := s.resolve(); !ok {
@@ -45,6 +46,7 @@
 	return r
 }
 
+// settle notes the position of a commit of the session.
 func (s *session) settle(statement stmt.Statement, r stmt.Reply) {
 	if r.Position != (types.LogPosition{}) {
 		s.position = r.Position
@@ -78,6 +80,7 @@
 	return w
 }
 
+// deliver sends the work to the owner, and again when it surely had no effect.
 func (s *session) deliver(w group.Work, started time.Time) stmt.Reply {
 	limit := s.route.Timeout
 	if limit <= 0 {
@@ -113,6 +116,7 @@
 	}
 }
 
+// broken decides what the loss of the way to the owner means; final comes with the answer for the caller.
 func (s *session) broken(w group.Work, err error, continues bool) (stmt.Reply, bool) {
 	notRun := errors.Is(err, group.ErrNotOwner)
 	switch {
@@ -127,6 +131,7 @@
 	}
 }
 
+// reach makes sure that there is a way to the owner of the route's database.
 func (s *session) reach(ctx context.Context) error {
 	if s.runner != nil && s.database == s.route.Database {
 		return nil
--- a/io/front/session.go
+++ b/io/front/session.go
@@ -218,11 +218,6 @@
 	return stmt.Reply{}, true
 }
 
-// forward sends a statement to the owner of the database and takes what its answer changes.
-// settle notes the position of a commit of the session.
-// deliver sends the work to the owner, and again when it surely had no effect.
-// broken decides what the loss of the way to the owner means; final comes with the answer for the caller.
-// reach makes sure that there is a way to the owner of the route's database.
 // fail returns a failure and breaks an open transaction.
 func (s *session) fail(code stmt.Code, text string) stmt.Reply {
 	if s.state == stmt.Open {
--- a/io/group/group.go
+++ b/io/group/group.go
@@ -31,6 +31,8 @@
 	suspected types.TargetID
 	primary   types.TargetID
 	term      types.Term
+	// acknowledged is the newest position that came with an acknowledged commit.
+	acknowledged types.LogPosition
 }
 
 // New starts to serve the database; Close ends it.
@@ -148,6 +150,13 @@
 	g.kick()
 }
 
+// acknowledge notes the position of a commit before its caller hears of it.
+func (g *Group) acknowledge(position types.LogPosition) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.acknowledged = g.acknowledged.Max(position)
+}
+
 func (g *Group) kick() {
 	select {
 	case g.kicks <- struct{}{}:
--- a/io/group/replace.go
+++ b/io/group/replace.go
@@ -7,6 +7,7 @@
 	"turmericpulley/core/clock"
 	"turmericpulley/core/hold"
 	"turmericpulley/core/pause"
+	"turmericpulley/core/place"
 	"turmericpulley/core/routes"
 	"turmericpulley/core/stmt"
 	"turmericpulley/core/types"
@@ -95,6 +96,10 @@
 	for {
 		seen := g.probeAll(ctx, s.others(old))
 		best, found := longest(seen)
+		if found && !s.electable(seen, best) {
+			g.logger.Warn("no member surely holds all acknowledged commits", "best", best.member.Target)
+			return routes.Member{}, 0, false
+		}
 		term := g.term
 		for _, o := range seen {
 			if o.err == nil {
@@ -114,6 +119,23 @@
 	}
 }
 
+// electable reports whether the member with the longest log may be promoted.
+func (s *steward) electable(seen []sighting, best sighting) bool {
+	g := s.group
+	election := place.Election{
+		SyncReplicas: g.settings.SyncReplicas, Members: len(seen), Longest: best.status.Received,
+	}
+	for _, o := range seen {
+		if o.err == nil {
+			election.Answered++
+		}
+	}
+	g.mu.Lock()
+	election.Acknowledged = g.acknowledged
+	g.mu.Unlock()
+	return election.Electable()
+}
+
 // longest returns the member with the longest log among those that answered and stay.
 func longest(seen []sighting) (sighting, bool) {
 	var best sighting
--- a/io/group/session.go
+++ b/io/group/session.go
@@ -225,6 +225,9 @@
 	if r.Code != stmt.OK {
 		return s.unsuccessful(w, grant, p, conn, r)
 	}
+	if w.Statement.Writes() {
+		g.acknowledge(r.Position)
+	}
 	opens := w.Opens || w.OpensRead
 	g.desk.Release(grant, g.settings.Clock.Since(asked), opens)
 	if opens {
--- a/io/group/settings.go
+++ b/io/group/settings.go
@@ -47,11 +47,13 @@
 	Self     fleet.Instance
 	// MaxConnections is the most connections that each member takes.
 	MaxConnections int
-	Dialer         Dialer
-	Promoter       Promoter
-	Ownership      Ownership
-	Clock          clock.Clock
-	Logger         hclog.Logger
+	// SyncReplicas is the number of replicas that hold a commit before it is acknowledged.
+	SyncReplicas int
+	Dialer       Dialer
+	Promoter     Promoter
+	Ownership    Ownership
+	Clock        clock.Clock
+	Logger       hclog.Logger
 	// Requests receives what became of requests, so that many of these do not displace changes of belief.
 	Requests hclog.Logger
 	// Refresh asks for the members' entries to be read again soon.
--- a/io/group/transaction.go
+++ b/io/group/transaction.go
@@ -104,6 +104,9 @@
 		if r.Code != stmt.OK || r.State != stmt.Idle {
 			t.conn.broken = true
 		}
+		if r.Code == stmt.OK && t.primary {
+			s.group.acknowledge(r.Position)
+		}
 		t.pool.put(t.conn)
 		if r.Code.NotRun() {
 			r = stmt.Fail(stmt.RolledBack, "nothing of the transaction is kept: "+string(r.Code)+" "+r.Text)
--- a/io/node/claim.go
+++ b/io/node/claim.go
@@ -12,6 +12,7 @@
 	"turmericpulley/core/types"
 )
 
+// consider claims a database that has no living owner when it is this instance's turn.
 func (h *holder) consider(ctx context.Context, database routes.Database, record owned, known bool) {
 	rank := h.rank(database.ID, record)
 	if h.isLeaving() || rank < 0 {
@@ -37,6 +38,7 @@
 	h.claim(ctx, database, record)
 }
 
+// rank returns this instance's place among those that may own the database; the present owner does not count.
 func (h *holder) rank(database types.DatabaseID, record owned) int {
 	membership := fleet.Membership{Instances: h.node.roster.all()}
 	subject := policy.Database{Database: database}
@@ -52,6 +54,7 @@
 	return -1
 }
 
+// claim writes a record that names this instance.
 func (h *holder) claim(ctx context.Context, database routes.Database, record owned) {
 	n := h.node
 	next := owned{record.HandedTo(n.settings.Self), record.revision}
@@ -67,6 +70,7 @@
 	h.start(database, taken)
 }
 
+// adopt starts a database whose record names this instance, as after a handover or a claim whose answer was lost.
 func (h *holder) adopt(ctx context.Context, database routes.Database) {
 	n := h.node
 	sent := n.settings.Clock.Now()
@@ -87,6 +91,7 @@
 	h.start(database, taken)
 }
 
+// restore writes the record again when the store has dropped it.
 func (h *holder) restore(ctx context.Context, held *holding) {
 	n := h.node
 	n.logger.Warn("record of the owner is gone, writing it again", "database", held.database)
--- a/io/node/handover.go
+++ b/io/node/handover.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"turmericpulley/core/fleet"
+	"turmericpulley/core/pause"
 	"turmericpulley/core/policy"
 	"turmericpulley/core/types"
 	"turmericpulley/io/wire"
@@ -18,10 +20,13 @@
 	settleAfterTakeover = 8 * time.Second
 	// offerTimeout bounds the reading of a record by an instance that is asked whether it could own a database.
 	offerTimeout = 300 * time.Millisecond
+	// handOverPause is the time between two attempts at a planned stop.
+	handOverPause = 100 * time.Millisecond
 	// handOverTimeout bounds the handing over of a database at a planned stop.
 	handOverTimeout = time.Second
 )
 
+// fence ends work under ownerships older than the epoch.
 func (h *holder) fence(database types.DatabaseID, epoch types.Epoch) bool {
 	held := h.get(database)
 	if held == nil {
@@ -34,6 +39,7 @@
 	return true
 }
 
+// leave hands all databases to other instances; until one is able to take a database over, this one goes on with it.
 func (h *holder) leave() {
 	h.mu.Lock()
 	h.leaving = true
@@ -42,12 +48,22 @@
 		held = append(held, one)
 	}
 	h.mu.Unlock()
+	var leaving sync.WaitGroup
 	for _, one := range held {
-		primary, _ := one.group.Primary()
-		h.handOver(h.node.ctx, one, primary.DataCentre)
+		leaving.Go(func() {
+			primary, _ := one.group.Primary()
+			for !h.handOver(h.node.ctx, one, primary.DataCentre) {
+				if !pause.For(h.node.ctx, handOverPause) {
+					return
+				}
+			}
+		})
 	}
+	leaving.Wait()
 }
 
+// settle moves a database to an instance in the data centre of its primary, which saves every statement a way between
+// data centres.
 func (h *holder) settle(ctx context.Context, held *holding) {
 	n := h.node
 	primary, open := held.group.Primary()
@@ -71,7 +87,9 @@
 	}
 }
 
-func (h *holder) handOver(ctx context.Context, held *holding, dataCentre types.DataCentre) {
+// handOver names an able instance as the next owner, one in the data centre when there is any; it reports whether it
+// found one.
+func (h *holder) handOver(ctx context.Context, held *holding, dataCentre types.DataCentre) bool {
 	n := h.node
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
@@ -79,14 +97,13 @@
 	subject := policy.Database{Database: held.database, Members: []policy.Member{{DataCentre: dataCentre}}}
 	for _, i := range membership.Ranked(subject) {
 		if i.ID != n.settings.Self.ID && h.name(ctx, held, i) {
-			return
+			return true
 		}
 	}
-	if dataCentre != "" {
-		h.handOver(ctx, held, "")
-	}
+	return dataCentre != "" && h.handOver(ctx, held, "")
 }
 
+// yield hands the database to the instance, which reaches a primary that this one does not.
 func (h *holder) yield(ctx context.Context, held *holding, to types.InstanceID) {
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
@@ -95,6 +112,8 @@
 	}
 }
 
+// name writes the instance into the record as the next owner if it is able to take over; an instance that is cut from
+// the store would not notice.
 func (h *holder) name(ctx context.Context, held *holding, next fleet.Instance) bool {
 	n := h.node
 	if !n.offer(ctx, next, held.database, false) {
@@ -116,6 +135,7 @@
 	return true
 }
 
+// offer asks an instance whether it could own the database, or tells it that it does.
 func (n *Node) offer(ctx context.Context, to fleet.Instance, database types.DatabaseID, named bool) bool {
 	reply, err := n.call(ctx, to.PeerAddress, &wire.Call{Kind: &wire.Call_Offer{Offer: &wire.Offer{
 		Database: string(database), Named: named,
@@ -123,6 +143,8 @@
 	return err == nil && reply.GetOffered().GetAble()
 }
 
+// offered answers whether this instance could own the database. The record is read from the store in both cases, which
+// also shows whether the store answers.
 func (h *holder) offered(o *wire.Offer) bool {
 	if h.isLeaving() || h.node.routes.Table() == nil {
 		return false
--- a/io/node/holder.go
+++ b/io/node/holder.go
@@ -115,7 +115,8 @@
 	n := h.node
 	taken.acquired = n.settings.Clock.Now()
 	taken.group = group.New(group.Settings{
-		Database: database.ID, Self: n.settings.Self, MaxConnections: database.MaxConnections, Dialer: n.settings.Dialer,
+		Database: database.ID, Self: n.settings.Self, MaxConnections: database.MaxConnections,
+		SyncReplicas: database.SyncReplicas, Dialer: n.settings.Dialer,
 		Promoter: n.settings.Promoter, Ownership: taken, Clock: n.settings.Clock, Logger: n.logger, Requests: n.settings.Requests, Refresh: n.entries.refresh,
 		Witness: n.witness,
 		Yield:   func(ctx context.Context, to types.InstanceID) { h.yield(ctx, taken, to) },
@@ -133,7 +134,6 @@
 	n.roster.mu.Unlock()
 }
 
-// restore writes the record again when the store has dropped it.
 // lose ends the ownership of a database that another instance has claimed; transactions get a moment to end.
 func (h *holder) lose(held *holding, record owned) {
 	h.node.logger.Info("database lost", "database", held.database, "owner", record.Instance, "revision", record.revision)
@@ -178,17 +178,6 @@
 	n.roster.retain(ownersPrefix, items, revision)
 }
 
-// fence ends work under ownerships older than the epoch.
-// leave hands all databases to other instances.
-// settle moves a database to an instance in the data centre of its primary, which saves every statement a way between
-// data centres.
-// handOver names an able instance as the next owner, one in the data centre when there is any.
-// yield hands the database to the instance, which reaches a primary that this one does not.
-// name writes the instance into the record as the next owner if it is able to take over; an instance that is cut from
-// the store would not notice.
-// offer asks an instance whether it could own the database, or tells it that it does.
-// offered answers whether this instance could own the database. The record is read from the store in both cases, which
-// also shows whether the store answers.
 // close ends all holdings.
 func (h *holder) close() {
 	h.mu.Lock()
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -97,7 +97,7 @@
 func (n *Node) Stop() {
 	n.stopping.Store(true)
 	n.logger.Info("instance stopping", "grace", n.settings.Grace, "sessions", n.callers.Counters().Sessions.Load())
-	n.holder.leave()
+	n.running.Go(n.holder.leave)
 	n.callers.Stop(max(n.settings.Grace-stopMargin, time.Second))
 	n.cancel()
 	_ = n.ready.Close()
