perf: a silent owner is replaced a quarter of a second sooner

Cause: witnesses were asked only after the second question had failed, and the holder noticed a dead owner at its next tick. Both questions now run together, and the news wakes the holder.

--- a/io/node/holder.go
+++ b/io/node/holder.go
@@ -129,9 +129,7 @@
 	}
 	h.mu.Unlock()
 	n.entries.refresh()
-	n.roster.mu.Lock()
-	n.roster.signal()
-	n.roster.mu.Unlock()
+	n.roster.wake()
 }
 
 // lose ends the ownership of a database that another instance has claimed; transactions get a moment to end.
--- a/io/node/roster.go
+++ b/io/node/roster.go
@@ -125,6 +125,13 @@
 	return r.changed
 }
 
+// wake makes those who wait for a change look again.
+func (r *roster) wake() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.signal()
+}
+
 func (r *roster) signal() {
 	close(r.changed)
 	r.changed = make(chan struct{})
--- a/io/node/watches.go
+++ b/io/node/watches.go
@@ -22,8 +22,8 @@
 	// aliveTimeout bounds the wait for a sign of life, which usually takes 3 ms and 30 ms on a machine that is five times
 	// slower.
 	aliveTimeout = 250 * time.Millisecond
-	// suspicionFailures is the number of questions in a row that must stay without an answer.
-	suspicionFailures = 2
+	// unwantedLimit is how long an owner is followed after the last question about it.
+	unwantedLimit = 5 * time.Second
 	// witnesses is the number of instances that are asked whether they reach an owner that is silent from here.
 	witnesses = 4
 )
@@ -80,35 +80,35 @@
 
 // follow asks the instance for signs of life as long as anyone wants to know.
 func (w *watches) follow(id types.InstanceID, held *watch) {
-	failures := 0
-	for pause.For(w.ctx, w.interval(failures)) {
+	for pause.For(w.ctx, watchInterval) {
 		w.mu.Lock()
-		if time.Since(held.wanted) > 5*time.Second {
+		if time.Since(held.wanted) > unwantedLimit {
 			delete(w.held, id)
 			w.mu.Unlock()
 			return
 		}
 		w.mu.Unlock()
-		instance, known := w.node.roster.instance(id)
-		if known && w.node.alive(w.ctx, instance) {
-			failures = 0
+		if w.answers(id) {
 			w.set(id, held, false)
 			continue
 		}
-		failures++
-		if failures >= suspicionFailures && !w.witnessed(id) {
-			w.set(id, held, true)
+		if !pause.For(w.ctx, againInterval) {
+			return
 		}
+		w.set(id, held, w.silent(id))
 	}
 }
 
-// interval returns the time to the next question: a short one after a first failure, but longer than links refuse to
-// dial again.
-func (w *watches) interval(failures int) time.Duration {
-	if failures > 0 && failures < suspicionFailures {
-		return againInterval
-	}
-	return watchInterval
+// silent asks an instance that gave no answer a second time, and others whether they reach it.
+func (w *watches) silent(id types.InstanceID) bool {
+	witnessed := make(chan bool, 1)
+	w.node.running.Go(func() { witnessed <- w.witnessed(id) })
+	return !w.answers(id) && !<-witnessed
+}
+
+func (w *watches) answers(id types.InstanceID) bool {
+	instance, known := w.node.roster.instance(id)
+	return known && w.node.alive(w.ctx, instance)
 }
 
 func (w *watches) set(id types.InstanceID, held *watch, dead bool) {
@@ -117,7 +117,8 @@
 	held.dead = dead
 	w.mu.Unlock()
 	if changed {
-		w.node.logger.Info("owner seen", "instance", id, "dead", dead)
+		w.node.logger.Info("owner seen", "owner", id, "dead", dead)
+		w.node.roster.wake()
 	}
 }
 
