feat: a deputy works in the place of a dead owner without the store

The owner now names a deputy in its record. The deputy reads the record every 1.5 s and may work for 5 s from the sending of the last read that named it, but not promote. An owner asks its deputies to stop before a promotion, or takes them out of the record and waits out their time. Weighed: promises of a majority of instances (a message to each every second).

Test with separate processes: the owner killed while the store answers 503. Newcomers wait 2.5 s before they replace a primary that they have never seen, because entries are complete only two seconds after the store's return.

--- a/core/hold/authority.go
+++ b/core/hold/authority.go
@@ -12,6 +12,9 @@
 	// Duration is how long the owner may work after a read of the store that showed its ownership. It bridges outages
 	// of the store of several seconds; a promotion by a successor that cannot reach the owner waits as long.
 	Duration = 10 * time.Second
+	// DeputyDuration is how long a deputy may work after a read of the store that showed its name. It bridges the outages
+	// of the store that are usual; an owner that does not reach its deputy waits as long before a promotion.
+	DeputyDuration = 5 * time.Second
 	// margin ends the owner's work before a successor's wait ends, for clocks that differ in speed.
 	margin = 200 * time.Millisecond
 )
@@ -20,15 +23,21 @@
 type Authority struct {
 	clock clock.Clock
 
-	mu      sync.Mutex
-	epoch   types.Epoch
-	until   clock.Moment
-	revoked bool
+	mu       sync.Mutex
+	duration time.Duration
+	epoch    types.Epoch
+	until    clock.Moment
+	revoked  bool
 }
 
-// NewAuthority returns a right that began with a write of the store, sent at the moment, at the epoch.
+// NewAuthority returns a right that began with a call of the store, sent at the moment, at the epoch.
 func NewAuthority(c clock.Clock, epoch types.Epoch, sent clock.Moment) *Authority {
-	return &Authority{clock: c, epoch: epoch, until: sent.Add(Duration - margin)}
+	return &Authority{clock: c, duration: Duration, epoch: epoch, until: sent.Add(Duration - margin)}
+}
+
+// NewDeputyAuthority returns the shorter right of a deputy, which becomes an owner's with its first confirmation.
+func NewDeputyAuthority(c clock.Clock, epoch types.Epoch, sent clock.Moment) *Authority {
+	return &Authority{clock: c, duration: Duration, epoch: epoch, until: sent.Add(DeputyDuration - margin)}
 }
 
 // Confirm extends the right by a read of the store, sent at the moment, that showed the epoch.
@@ -39,7 +48,7 @@
 		return
 	}
 	a.epoch = epoch
-	if until := sent.Add(Duration - margin); until > a.until {
+	if until := sent.Add(a.duration - margin); until > a.until {
 		a.until = until
 	}
 }
--- a/core/hold/record.go
+++ b/core/hold/record.go
@@ -20,6 +20,8 @@
 	Holder
 	// Former are earlier owners that might still work for the database.
 	Former []Holder `json:"former,omitempty"`
+	// Deputy may work in the owner's place, without the store, when the owner is dead.
+	Deputy *Holder `json:"deputy,omitempty"`
 	// Promotion is the last promotion that an owner was about to ask for.
 	Promotion *Promotion `json:"promotion,omitempty"`
 }
@@ -51,10 +53,19 @@
 	return r.Instance == self.ID && r.Incarnation == self.Incarnation
 }
 
+// HasDeputy reports whether the record names this run of the instance as the deputy.
+func (r Record) HasDeputy(self fleet.Instance) bool {
+	return r.Deputy != nil && r.Deputy.Instance == self.ID && r.Deputy.Incarnation == self.Incarnation
+}
+
 // HandedTo returns the record with a new owner. Earlier runs of the new owner's own instance have ended.
 func (r Record) HandedTo(next fleet.Instance) Record {
 	handed := Record{Holder: Holder{next.ID, next.Incarnation}, Promotion: r.Promotion}
-	for _, f := range append([]Holder{r.Holder}, r.Former...) {
+	former := append([]Holder{r.Holder}, r.Former...)
+	if r.Deputy != nil {
+		former = append([]Holder{*r.Deputy}, former...)
+	}
+	for _, f := range former {
 		if f.Instance != "" && f.Instance != next.ID && len(handed.Former) < maxFormer {
 			handed.Former = append(handed.Former, f)
 		}
--- a/io/check/platform_test.go
+++ b/io/check/platform_test.go
@@ -262,7 +262,7 @@
 // owner returns the instance that the store names as the owner of the database.
 func (s *site) owner() int {
 	for i := range s.processes {
-		if strings.Contains(string(s.Store.Value("turmericpulley/owners/db1")), fmt.Sprintf(`"instance":"n%d"`, i+1)) {
+		if strings.HasPrefix(string(s.Store.Value("turmericpulley/owners/db1")), fmt.Sprintf(`{"instance":"n%d"`, i+1)) {
 			return i
 		}
 	}
@@ -331,6 +331,34 @@
 	require.Less(t, s.Store.Calls()-calls, 400, "no stampede while the store is away or on its return")
 }
 
+// TestADeputyActsForADeadOwnerWithoutTheStore kills the owner while the store is away for everybody; the deputy that the
+// owner has named works in its place and becomes the owner when the store is back.
+func TestADeputyActsForADeadOwnerWithoutTheStore(t *testing.T) {
+	s := newSite(t, 3, 10*time.Millisecond)
+	require.Eventually(t, func() bool {
+		return strings.Contains(string(s.Store.Value("turmericpulley/owners/db1")), `"deputy"`)
+	}, 10*time.Second, 20*time.Millisecond)
+	// Two of the owner's confirmations pass, so that the deputy has read its name.
+	time.Sleep(3 * time.Second)
+	owner := s.owner()
+	writers := s.play(5*time.Second, func() {
+		s.Store.Answer(http.StatusServiceUnavailable)
+		time.Sleep(100 * time.Millisecond)
+		s.processes[owner].Kill()
+		time.AfterFunc(3*time.Second, func() { s.Store.Answer(0) })
+	}, (owner+1)%3, (owner+2)%3)
+	s.requireOnce(t, writers)
+	require.NotEqual(t, owner, s.owner())
+	for _, w := range writers {
+		require.Less(t, w.longestGap, 2*time.Second)
+	}
+	acted := 0
+	for _, p := range s.processes {
+		acted += strings.Count(p.Log(), "deputy acts")
+	}
+	require.Equal(t, 1, acted)
+}
+
 func TestALostRecordIsWrittenAgain(t *testing.T) {
 	s := newSite(t, 2, 10*time.Millisecond)
 	writers := s.play(3*time.Second, func() {
--- a/io/group/steward.go
+++ b/io/group/steward.go
@@ -73,6 +73,10 @@
 // that coincides with a short cut should not cost a promotion.
 const patienceWithoutPrimary = 500 * time.Millisecond
 
+// patienceOfNewcomer is the same for an owner that has not seen the primary yet: after an outage of the store the
+// members' entries are complete only two seconds after its return.
+const patienceOfNewcomer = 2500 * time.Millisecond
+
 // discover looks for the primary of the highest term and opens it.
 func (s *steward) discover(ctx context.Context) {
 	g := s.group
@@ -86,7 +90,11 @@
 		s.open(best)
 		return
 	}
-	if g.settings.Clock.Since(s.lost) > patienceWithoutPrimary {
+	patience := patienceWithoutPrimary
+	if g.term == 0 {
+		patience = patienceOfNewcomer
+	}
+	if g.settings.Clock.Since(s.lost) > patience {
 		s.replace(ctx, unplanned)
 	}
 }
--- a/io/node/calls.go
+++ b/io/node/calls.go
@@ -180,6 +180,9 @@
 		return &wire.CallReply{Kind: &wire.CallReply_Probed{Probed: n.probe(kind.Probe)}}
 	case *wire.Call_Offer:
 		return &wire.CallReply{Kind: &wire.CallReply_Offered{Offered: &wire.Offered{Able: n.holder.offered(kind.Offer)}}}
+	case *wire.Call_Arm:
+		n.holder.armed(kind.Arm)
+		return &wire.CallReply{Kind: &wire.CallReply_Armed{Armed: &wire.Armed{}}}
 	case *wire.Call_ConfigurationQuery:
 		n.roster.mu.Lock()
 		i := n.roster.configuration
--- a/io/node/claim.go
+++ b/io/node/claim.go
@@ -18,12 +18,21 @@
 	if h.isLeaving() || rank < 0 {
 		return
 	}
+	deputy := known && record.HasDeputy(h.node.settings.Self)
+	if deputy {
+		rank = 0
+	}
 	if known && !h.watches.dead(record.Holder, rank) {
 		h.mu.Lock()
 		delete(h.unowned, database.ID)
 		h.mu.Unlock()
 		return
 	}
+	if deputy {
+		if h.act(database, record); h.get(database.ID) != nil {
+			return
+		}
+	}
 	now := h.node.settings.Clock.Now()
 	h.mu.Lock()
 	since, noted := h.unowned[database.ID]
@@ -35,7 +44,11 @@
 	if now.Sub(since) < time.Duration(rank)*claimStep {
 		return
 	}
-	h.claim(ctx, database, record)
+	if !h.claim(ctx, database, record) {
+		h.mu.Lock()
+		h.unowned[database.ID] = now.Add(claimPause)
+		h.mu.Unlock()
+	}
 }
 
 // rank returns this instance's place among those that may own the database; the present owner does not count.
@@ -54,20 +67,19 @@
 	return -1
 }
 
-// claim writes a record that names this instance.
-func (h *holder) claim(ctx context.Context, database routes.Database, record owned) {
+// claim writes a record that names this instance, and reports whether the store took it or another instance was first.
+func (h *holder) claim(ctx context.Context, database routes.Database, record owned) bool {
 	n := h.node
 	next := owned{record.HandedTo(n.settings.Self), record.revision}
 	taken := h.prepare(database, next)
 	sent := n.settings.Clock.Now()
 	if err := taken.write(ctx, next, sent); err != nil {
 		n.logger.Info("database not claimed", "database", database.ID, "error", err)
-		h.reread(ctx, database.ID)
-		pause.For(ctx, holderInterval)
-		return
+		return h.reread(ctx, database.ID)
 	}
 	n.logger.Info("database claimed", "database", database.ID, "epoch", taken.authority.Epoch(), "before", record.Instance)
 	h.start(database, taken)
+	return true
 }
 
 // adopt starts a database whose record names this instance, as after a handover or a claim whose answer was lost.
--- a/io/node/entries.go
+++ b/io/node/entries.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"turmericpulley/core/clock"
@@ -24,6 +25,8 @@
 type entries struct {
 	node  *Node
 	kicks chan struct{}
+
+	mu    sync.Mutex
 	known map[types.TargetID]routes.Member
 	// missing is since when an entry was not shown any more.
 	missing map[types.TargetID]clock.Moment
@@ -35,6 +38,18 @@
 	}
 }
 
+// seed notes members that another instance told of. Entries that lapsed while the store was away come back only some
+// time after its return; until then these count as missing, not as unknown.
+func (e *entries) seed(members []routes.Member) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, m := range members {
+		if _, known := e.known[m.Target]; !known {
+			e.known[m.Target] = m
+		}
+	}
+}
+
 // refresh asks for a reading soon.
 func (e *entries) refresh() {
 	select {
@@ -70,6 +85,8 @@
 		n.logger.Debug("members not read", "error", err)
 		return
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	now := n.settings.Clock.Now()
 	shown := map[types.TargetID]bool{}
 	for _, i := range items {
--- a/io/node/handover.go
+++ b/io/node/handover.go
@@ -28,10 +28,17 @@
 
 // fence ends work under ownerships older than the epoch.
 func (h *holder) fence(database types.DatabaseID, epoch types.Epoch) bool {
+	h.mu.Lock()
+	h.fenced[database] = max(h.fenced[database], epoch)
+	h.mu.Unlock()
 	held := h.get(database)
 	if held == nil {
 		return true
 	}
+	if held.isActing() {
+		held.authority.Revoke()
+		return true
+	}
 	if held.authority.Epoch() >= epoch {
 		return false
 	}
--- a/io/node/holder.go
+++ b/io/node/holder.go
@@ -22,6 +22,8 @@
 	holderInterval = 100 * time.Millisecond
 	// claimStep is the time that each rank leaves to the one before it.
 	claimStep = 150 * time.Millisecond
+	// claimPause is the time between two claims while the store does not answer.
+	claimPause = 400 * time.Millisecond
 )
 
 // holder decides for each database whether this instance owns it.
@@ -36,12 +38,19 @@
 	// members are the last known members of each database.
 	members map[types.DatabaseID][]routes.Member
 	leaving bool
+	// named are the reads that showed this instance as a deputy, arms the members that owners told it, and fenced the
+	// epochs up to which it must not act.
+	named  map[types.DatabaseID]named
+	arms   map[types.DatabaseID][]routes.Member
+	fenced map[types.DatabaseID]types.Epoch
 }
 
 func newHolder(n *Node) *holder {
 	return &holder{
 		node: n, watches: newWatches(n), holdings: map[types.DatabaseID]*holding{},
 		unowned: map[types.DatabaseID]clock.Moment{}, members: map[types.DatabaseID][]routes.Member{},
+		named: map[types.DatabaseID]named{}, arms: map[types.DatabaseID][]routes.Member{},
+		fenced: map[types.DatabaseID]types.Epoch{},
 	}
 }
 
@@ -57,7 +66,7 @@
 		case <-ctx.Done():
 			return
 		case <-confirm.C:
-			if h.holdsAny() {
+			if h.holdsAny() || h.isDeputy() {
 				h.confirm(ctx)
 			}
 		case <-look.C:
@@ -78,11 +87,18 @@
 		switch {
 		case held != nil && known && !record.IsOf(h.node.settings.Self) && record.revision > held.revision():
 			h.lose(held, record)
+		case held != nil && held.isActing():
+			if !held.authority.Valid() {
+				h.lose(held, record)
+				continue
+			}
+			h.succeed(ctx, held)
 		case held != nil:
 			if known && record.IsOf(h.node.settings.Self) {
 				held.mu.Lock()
 				if record.revision > held.record.revision {
 					held.record = record
+					held.noteDeputy(h.node.settings.Clock.Now())
 				}
 				held.mu.Unlock()
 			}
@@ -90,6 +106,8 @@
 				h.restore(ctx, held)
 			}
 			h.settle(ctx, held)
+			h.deputise(ctx, held)
+			h.arm(ctx, held)
 		case known && record.IsOf(h.node.settings.Self):
 			h.adopt(ctx, database)
 		default:
@@ -106,6 +124,7 @@
 	n := h.node
 	return &holding{
 		node: n, database: database.ID, record: record, fenced: map[hold.Holder]bool{},
+		deputies:  map[hold.Holder]clock.Moment{},
 		authority: hold.NewAuthority(n.settings.Clock, 0, n.settings.Clock.Now().Add(-hold.Duration)),
 	}
 }
@@ -169,9 +188,17 @@
 		database := types.DatabaseID(strings.TrimPrefix(i.Key, ownersPrefix))
 		held := h.get(database)
 		record, err := hold.Decode(i.Value)
-		if held != nil && err == nil && record.IsOf(n.settings.Self) {
+		if err != nil {
+			continue
+		}
+		if held != nil && record.IsOf(n.settings.Self) {
 			held.confirm(owned{record, i.Revision}, sent)
 		}
+		if record.HasDeputy(n.settings.Self) {
+			h.mu.Lock()
+			h.named[database] = named{types.Epoch(i.Revision), sent}
+			h.mu.Unlock()
+		}
 	}
 	n.roster.retain(ownersPrefix, items, revision)
 }
--- a/io/node/holding.go
+++ b/io/node/holding.go
@@ -11,6 +11,7 @@
 	"turmericpulley/core/clock"
 	"turmericpulley/core/fault"
 	"turmericpulley/core/hold"
+	"turmericpulley/core/routes"
 	"turmericpulley/core/types"
 	"turmericpulley/io/group"
 	"turmericpulley/io/wire"
@@ -26,9 +27,16 @@
 	acquired clock.Moment
 	// moved is when this instance last tried to hand the database to an instance nearer to the primary.
 	moved clock.Moment
+	// deputised is when this instance last tried to name a deputy.
+	deputised clock.Moment
 
 	mu     sync.Mutex
 	record owned
+	// acting holdings are a deputy's: the record still names the owner that is dead.
+	acting bool
+	// deputies are the present deputy, with a zero moment, and former ones with the moment of their removal.
+	deputies map[hold.Holder]clock.Moment
+	armed    []routes.Member
 	// fenced are the former owners that have confirmed that they do not work any more.
 	fenced map[hold.Holder]bool
 }
@@ -45,7 +53,13 @@
 
 // MayPromote asks the former owners to stop, unless the time of their authority is over.
 func (h *holding) MayPromote(ctx context.Context) bool {
-	if h.node.settings.Clock.Since(h.acquired) > hold.Duration {
+	if h.isActing() || !h.deputiesStopped(ctx) {
+		return false
+	}
+	h.mu.Lock()
+	acquired := h.acquired
+	h.mu.Unlock()
+	if h.node.settings.Clock.Since(acquired) > hold.Duration {
 		return true
 	}
 	h.mu.Lock()
@@ -58,28 +72,32 @@
 	return all
 }
 
-// fence asks a former owner to stop; a machine that answers that nothing listens there has no owner either.
+// fence asks a former owner to stop, once.
 func (h *holding) fence(ctx context.Context, former hold.Holder) bool {
 	h.mu.Lock()
 	done := h.fenced[former]
 	h.mu.Unlock()
-	if done {
-		return true
+	if done || !h.stop(ctx, former) {
+		return done
 	}
-	instance, known := h.node.roster.instance(former.Instance)
+	h.mu.Lock()
+	h.fenced[former] = true
+	h.mu.Unlock()
+	return true
+}
+
+// stop asks an instance to work no more under ownerships up to this one; a machine that answers that nothing listens
+// there has no owner either.
+func (h *holding) stop(ctx context.Context, holder hold.Holder) bool {
+	instance, known := h.node.roster.instance(holder.Instance)
 	if !known {
 		return false
 	}
 	reply, err := h.node.call(ctx, instance.PeerAddress, &wire.Call{Kind: &wire.Call_Fence{Fence: &wire.Fence{
 		Database: string(h.database), Epoch: uint64(h.authority.Epoch()),
 	}}})
-	done = err == nil && reply.GetFenced().GetDone() || errors.Is(err, syscall.ECONNREFUSED)
-	h.node.logger.Info("former owner asked to stop", "database", h.database, "former", former.Instance, "stopped", done, "error", err)
-	if done {
-		h.mu.Lock()
-		h.fenced[former] = true
-		h.mu.Unlock()
-	}
+	done := err == nil && reply.GetFenced().GetDone() || errors.Is(err, syscall.ECONNREFUSED)
+	h.node.logger.Info("instance asked to stop", "database", h.database, "asked", holder.Instance, "stopped", done, "error", err)
 	return done
 }
 
@@ -88,7 +106,7 @@
 	h.mu.Lock()
 	next := h.record
 	h.mu.Unlock()
-	next.Promotion, next.Former = &promotion, nil
+	next.Promotion, next.Former, next.Deputy = &promotion, nil, nil
 	sent := h.node.settings.Clock.Now()
 	if err := h.write(ctx, next, sent); err != nil {
 		return 0, err
@@ -143,6 +161,7 @@
 	if record.revision > h.record.revision {
 		h.record = record
 	}
+	h.noteDeputy(h.node.settings.Clock.Now())
 	h.mu.Unlock()
 	h.authority.Confirm(types.Epoch(record.revision), sent)
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -26,6 +26,7 @@
 	transport *peers.Transport
 	holder    *holder
 	entries   *entries
+	silent    *silent
 	feed      *feed
 	callers   *front.Server
 	ready     *http.Server
@@ -46,6 +47,7 @@
 	}
 	n.store = s.Store(&relay{node: n})
 	n.entries = newEntries(n)
+	n.silent = newSilent()
 	n.holder = newHolder(n)
 	n.feed = &feed{node: n}
 	n.transport = peers.NewTransport(s.Peers, n.serve)
--- a/io/node/remote.go
+++ b/io/node/remote.go
@@ -21,11 +21,20 @@
 type remote struct {
 	node     *Node
 	channel  *peers.Channel
+	instance types.InstanceID
 	database types.DatabaseID
 }
 
 // Do sends one statement to the owner and waits for the answer.
 func (r *remote) Do(w group.Work) (stmt.Reply, error) {
+	reply, err := r.do(w)
+	if errors.Is(err, front.ErrLost) {
+		r.node.silent.note(r.instance)
+	}
+	return reply, err
+}
+
+func (r *remote) do(w group.Work) (stmt.Reply, error) {
 	limit := w.Limit
 	if w.Abandon {
 		limit = peerTimeout
@@ -47,6 +56,7 @@
 		return stmt.Reply{}, errors.Wrap(front.ErrLost, "the owner answered something else")
 	}
 	if answer.GetNotOwner() {
+		r.node.silent.clear()
 		return stmt.Reply{}, group.ErrNotOwner
 	}
 	return decodeReply(answer), nil
--- a/io/node/router.go
+++ b/io/node/router.go
@@ -30,6 +30,9 @@
 	})
 }
 
+// openTimeout bounds the opening of a way to an instance, which takes a round trip when there is no session yet.
+const openTimeout = 200 * time.Millisecond
+
 // router finds the owners of databases for callers' sessions.
 type router struct {
 	node *Node
@@ -43,13 +46,12 @@
 		if held := n.holder.get(database); held != nil {
 			return held.group.NewSession(), nil
 		}
-		record, known := n.roster.owner(database)
-		if known && record.Instance != n.settings.Self.ID {
-			if instance, found := n.roster.instance(record.Instance); found {
-				channel, err := n.transport.Open(ctx, instance.PeerAddress)
-				if err == nil {
-					return &remote{node: n, channel: channel, database: database}, nil
+		if record, known := n.roster.owner(database); known {
+			for _, id := range n.ways(record) {
+				if way := r.open(ctx, id, database); way != nil {
+					return way, nil
 				}
+				n.silent.note(id)
 			}
 		}
 		if time.Now().After(reread) {
@@ -61,3 +63,30 @@
 		}
 	}
 }
+
+// ways returns the owner and its deputy, the deputy first when the owner did not answer lately.
+func (n *Node) ways(record owned) []types.InstanceID {
+	if record.Deputy == nil {
+		return []types.InstanceID{record.Instance}
+	}
+	if n.silent.lately(record.Instance) {
+		return []types.InstanceID{record.Deputy.Instance, record.Instance}
+	}
+	return []types.InstanceID{record.Instance, record.Deputy.Instance}
+}
+
+// open returns a way to the instance, or nil when it cannot be reached soon.
+func (r *router) open(ctx context.Context, id types.InstanceID, database types.DatabaseID) front.Runner {
+	n := r.node
+	instance, known := n.roster.instance(id)
+	if !known || id == n.settings.Self.ID {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	channel, err := n.transport.Open(ctx, instance.PeerAddress)
+	if err != nil {
+		return nil
+	}
+	return &remote{node: n, channel: channel, instance: id, database: database}
+}
