--- a/core/hold/authority_test.go
+++ b/core/hold/authority_test.go
@@ -58,3 +58,20 @@
 	_, err = hold.Decode([]byte("{"))
 	require.Error(t, err)
 }
+
+func TestADeputysAuthorityIsShorterUntilItIsTheOwner(t *testing.T) {
+	now := clock.Moment(time.Hour)
+	c := clock.Manual(func() clock.Moment { return now })
+	a := hold.NewDeputyAuthority(c, 7, now)
+	now = now.Add(hold.DeputyDuration)
+	require.False(t, a.Valid())
+	a.Confirm(8, now)
+	now = now.Add(hold.DeputyDuration)
+	require.True(t, a.Valid(), "the record names it as the owner now")
+	record := hold.Record{Holder: hold.Holder{Instance: "a", Incarnation: 1}, Deputy: &hold.Holder{Instance: "b", Incarnation: 2}}
+	require.True(t, record.HasDeputy(fleet.Instance{ID: "b", Incarnation: 2}))
+	require.False(t, record.HasDeputy(fleet.Instance{ID: "b", Incarnation: 3}))
+	next := record.HandedTo(fleet.Instance{ID: "c", Incarnation: 1})
+	require.Len(t, next.Former, 2, "the deputy might still work as well")
+	require.Nil(t, next.Deputy)
+}
