--- a/io/check/address.go
+++ b/io/check/address.go
@@ -22,8 +22,8 @@
 // reserved remembers the ports given out, so that processes that have not started yet keep theirs.
 var reserved sync.Map
 
-// newAddresses returns addresses whose ports are free, all different.
-func newAddresses(tb testing.TB, count int) []string {
+// NewAddresses returns loopback addresses whose ports are free and will not be given to outgoing connections.
+func NewAddresses(tb testing.TB, count int) []string {
 	tb.Helper()
 	addresses := make([]string, 0, count)
 	for len(addresses) < count {
--- a/io/check/instance.go
+++ b/io/check/instance.go
@@ -31,7 +31,7 @@
 // newInstance reserves the addresses of an instance; start runs it.
 func newInstance(tb testing.TB, layout Layout, id types.InstanceID, platform *Platform) *Instance {
 	tb.Helper()
-	addresses := newAddresses(tb, 3)
+	addresses := NewAddresses(tb, 3)
 	i := &Instance{
 		ID: id, callersAddress: addresses[0], peersAddress: addresses[1], HTTP: addresses[2],
 		Peers: map[types.InstanceID]*Link{}, Members: map[types.TargetID]*Link{},
--- a/io/check/member.go
+++ b/io/check/member.go
@@ -22,7 +22,7 @@
 // newMember starts a member; the first of a database is its primary.
 func newMember(tb testing.TB, layout Layout, target types.TargetID, primary *Member) *Member {
 	tb.Helper()
-	m := &Member{Target: target, Direct: newAddresses(tb, 1)[0]}
+	m := &Member{Target: target, Direct: NewAddresses(tb, 1)[0]}
 	m.Replication = NewLink(tb, string(target)+"-replication", m.Direct)
 	m.Replication.Delay(layout.MemberDelay)
 	arguments := []string{
--- a/io/check/platform_test.go
+++ b/io/check/platform_test.go
@@ -29,7 +29,7 @@
 	s := &site{Site: platform}
 	for i := range instances {
 		name := fmt.Sprintf("n%d", i+1)
-		boot, err := platform.WriteBoot(t.TempDir(), name, 4)
+		boot, err := platform.WriteBoot(t.TempDir(), name, 4, check.NewAddresses(t, 3))
 		require.NoError(t, err)
 		s.boots = append(s.boots, boot)
 		s.processes = append(s.processes, check.NewProcess(t, name, "instance", "--settings="+boot.Path))
--- a/io/fakepl/boot.go
+++ b/io/fakepl/boot.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 )
@@ -15,18 +14,14 @@
 	Ready   string
 }
 
-// WriteBoot writes the settings of an instance whose addresses are free ports on loopback.
-func (s *Site) WriteBoot(directory, name string, graceS float64) (Boot, error) {
-	addresses := make([]string, 0, 3)
-	for range 3 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return Boot{}, err
-		}
-		addresses = append(addresses, l.Addr().String())
-		if err := l.Close(); err != nil {
-			return Boot{}, err
-		}
+// bootAddresses is the number of addresses that an instance listens on.
+const bootAddresses = 3
+
+// WriteBoot writes the settings of an instance that listens on the addresses: for callers, for the readiness probe and
+// for other instances.
+func (s *Site) WriteBoot(directory, name string, graceS float64, addresses []string) (Boot, error) {
+	if len(addresses) != bootAddresses {
+		return Boot{}, fmt.Errorf("%d addresses given for an instance, not %d", len(addresses), bootAddresses)
 	}
 	value, err := json.Marshal(map[string]any{
 		"nodeName": name, "role": "instance", "ip": "127.0.0.1", "zone": "z1", "region": "r1",
