--- a/core/place/desk.go
+++ b/core/place/desk.go
@@ -53,7 +53,7 @@
 	t := &ticket{need: n, arrived: now, done: make(chan verdict, 1)}
 	if !d.contested(t, now) {
 		if s := d.choose(n, now); s != nil {
-			g := d.grant(t, s, now)
+			g := d.grant(t, s)
 			d.mu.Unlock()
 			return g, nil
 		}
@@ -160,16 +160,13 @@
 	return false
 }
 
-func (d *Desk) grant(t *ticket, s *seat, now clock.Moment) *Grant {
+func (d *Desk) grant(t *ticket, s *seat) *Grant {
 	s.busy++
 	held := t.need.Pinned == ""
 	if held {
 		s.held++
 	}
-	return &Grant{
-		Target: s.target, Primary: s.target == d.primary, Waited: t.arrived != now,
-		class: t.need.Class, at: now, held: held,
-	}
+	return &Grant{Target: s.target, Primary: s.target == d.primary, class: t.need.Class, held: held}
 }
 
 // dispatch hands free slots to the tickets in their order and drops those that can no longer be served.
@@ -194,7 +191,7 @@
 			continue
 		}
 		if s := d.choose(t.need, now); s != nil {
-			t.done <- verdict{grant: d.grant(t, s, now)}
+			t.done <- verdict{grant: d.grant(t, s)}
 			continue
 		}
 		if t.band(now) == bandLate {
--- a/core/stmt/kind.go
+++ b/core/stmt/kind.go
@@ -28,10 +28,6 @@
 	Discard
 	// Status asks a member about itself.
 	Status
-	// Pause keeps a replica from receiving the log.
-	Pause
-	// Resume lets a paused replica receive again.
-	Resume
 	// StepDown makes a primary of a lower term a replica.
 	StepDown
 )
--- a/core/stmt/statement.go
+++ b/core/stmt/statement.go
@@ -18,7 +18,7 @@
 	Data string
 	// After makes a member refuse a read or a begin unless its log holds the position; zero asks for nothing.
 	After types.LogPosition
-	// Term belongs to Pause and StepDown.
+	// Term belongs to StepDown.
 	Term types.Term
 }
 
--- a/io/node/deputy.go
+++ b/io/node/deputy.go
@@ -20,8 +20,8 @@
 // succeedPause is the time between two attempts of a deputy to become the owner.
 const succeedPause = 500 * time.Millisecond
 
-// named is a read of the store that showed this instance as the deputy of a database.
-type named struct {
+// nomination is a read of the store that showed this instance as the deputy of a database.
+type nomination struct {
 	epoch types.Epoch
 	sent  clock.Moment
 }
@@ -143,7 +143,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.arms[types.DatabaseID(a.GetDatabase())] = members
+	h.membersTold[types.DatabaseID(a.GetDatabase())] = members
 }
 
 // act begins to work in the place of a dead owner when this instance is its deputy; it needs no store for that.
@@ -151,7 +151,7 @@
 	n := h.node
 	epoch := types.Epoch(record.revision)
 	h.mu.Lock()
-	shown, members, fenced := h.named[database.ID], h.arms[database.ID], h.fenced[database.ID]
+	shown, members, fenced := h.nominations[database.ID], h.membersTold[database.ID], h.fencedEpochs[database.ID]
 	h.mu.Unlock()
 	authority := hold.NewDeputyAuthority(n.settings.Clock, epoch, shown.sent)
 	if shown.epoch != epoch || fenced >= epoch || len(members) == 0 || !authority.Valid() {
@@ -167,7 +167,7 @@
 	h.start(database, taken)
 	// A fence that came before the holding was to be seen found nothing to end.
 	h.mu.Lock()
-	fenced = h.fenced[database.ID]
+	fenced = h.fencedEpochs[database.ID]
 	h.mu.Unlock()
 	if fenced >= epoch {
 		authority.Revoke()
--- a/io/node/handover.go
+++ b/io/node/handover.go
@@ -29,7 +29,7 @@
 // fence ends work under ownerships older than the epoch.
 func (h *holder) fence(database types.DatabaseID, epoch types.Epoch) bool {
 	h.mu.Lock()
-	h.fenced[database] = max(h.fenced[database], epoch)
+	h.fencedEpochs[database] = max(h.fencedEpochs[database], epoch)
 	h.mu.Unlock()
 	held := h.get(database)
 	if held == nil {
--- a/io/node/holder.go
+++ b/io/node/holder.go
@@ -38,19 +38,19 @@
 	// members are the last known members of each database.
 	members map[types.DatabaseID][]routes.Member
 	leaving bool
-	// named are the reads that showed this instance as a deputy, arms the members that owners told it, and fenced the
-	// epochs up to which it must not act.
-	named  map[types.DatabaseID]named
-	arms   map[types.DatabaseID][]routes.Member
-	fenced map[types.DatabaseID]types.Epoch
+	// nominations are the reads that showed this instance as a deputy, membersTold what owners told it of their members,
+	// and fencedEpochs the epochs up to which it must not act.
+	nominations  map[types.DatabaseID]nomination
+	membersTold  map[types.DatabaseID][]routes.Member
+	fencedEpochs map[types.DatabaseID]types.Epoch
 }
 
 func newHolder(n *Node) *holder {
 	return &holder{
 		node: n, watches: newWatches(n), holdings: map[types.DatabaseID]*holding{},
 		unowned: map[types.DatabaseID]clock.Moment{}, members: map[types.DatabaseID][]routes.Member{},
-		named: map[types.DatabaseID]named{}, arms: map[types.DatabaseID][]routes.Member{},
-		fenced: map[types.DatabaseID]types.Epoch{},
+		nominations: map[types.DatabaseID]nomination{}, membersTold: map[types.DatabaseID][]routes.Member{},
+		fencedEpochs: map[types.DatabaseID]types.Epoch{},
 	}
 }
 
@@ -196,7 +196,7 @@
 		}
 		if record.HasDeputy(n.settings.Self) {
 			h.mu.Lock()
-			h.named[database] = named{types.Epoch(i.Revision), sent}
+			h.nominations[database] = nomination{types.Epoch(i.Revision), sent}
 			h.mu.Unlock()
 		}
 	}
