fix: the term of a group is read under its lock

Found by reading: a visit to a quiet member runs in a goroutine of its own and read the term that the steward writes under the lock when it opens a primary. The other readers are the steward itself and go through the same accessor now.

--- a/io/group/group.go
+++ b/io/group/group.go
@@ -157,6 +157,13 @@
 	g.acknowledged = g.acknowledged.Max(position)
 }
 
+// currentTerm returns the term of the primary that was opened last; zero before the first.
+func (g *Group) currentTerm() types.Term {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.term
+}
+
 func (g *Group) kick() {
 	select {
 	case g.kicks <- struct{}{}:
--- a/io/group/replace.go
+++ b/io/group/replace.go
@@ -100,7 +100,7 @@
 			g.logger.Warn("no member surely holds all acknowledged commits", "best", best.member.Target)
 			return routes.Member{}, 0, false
 		}
-		term := g.term
+		term := g.currentTerm()
 		for _, o := range seen {
 			if o.err == nil {
 				term = max(term, o.status.Term, o.status.HeldTerm)
--- a/io/group/steward.go
+++ b/io/group/steward.go
@@ -91,7 +91,7 @@
 		return
 	}
 	patience := patienceWithoutPrimary
-	if g.term == 0 {
+	if g.currentTerm() == 0 {
 		patience = patienceOfNewcomer
 	}
 	if g.settings.Clock.Since(s.lost) > patience {
@@ -198,7 +198,7 @@
 	if g.settings.Witness == nil {
 		return false
 	}
-	to, seen := g.settings.Witness(ctx, primary, g.term)
+	to, seen := g.settings.Witness(ctx, primary, g.currentTerm())
 	if !seen {
 		return false
 	}
@@ -210,7 +210,7 @@
 // verified takes the answer of a suspected primary.
 func (s *steward) verified(ctx context.Context, seen sighting) {
 	g := s.group
-	if seen.status.Primary && seen.status.Term >= g.term {
+	if seen.status.Primary && seen.status.Term >= g.currentTerm() {
 		g.desk.NotePrimary(seen.member.Target, seen.applied, seen.asked)
 		return
 	}
@@ -237,7 +237,7 @@
 	if seen.applied != (types.LogPosition{}) {
 		g.desk.NoteReplica(seen.member.Target, seen.applied)
 	}
-	if seen.err == nil && seen.status.Primary && seen.status.Term < g.term {
+	if seen.err == nil && seen.status.Primary && seen.status.Term < g.currentTerm() {
 		s.stepDown(seen.member)
 	}
 	g.setUsable(seen.member.Target, true, "answers")
@@ -277,9 +277,7 @@
 // stepDown tells a primary of an earlier term that it was replaced.
 func (s *steward) stepDown(m routes.Member) {
 	g := s.group
-	g.mu.Lock()
-	term := g.term
-	g.mu.Unlock()
+	term := g.currentTerm()
 	g.running.Go(func() {
 		seen := g.probe(context.Background(), m, stmt.Statement{Kind: stmt.StepDown, Term: term})
 		g.logger.Info("old primary told to step down", "member", m.Target, "term", term, "error", seen.err)
