refactor: one question for a member's status, and what a statement is to a transaction said once

Read again as a whole: node.probe asked and parsed a status beside group.ask, and a busy member was recognised by the same two conditions twice (AskStatus and sighting.busy serve both); begins, continues, reads and repeatable were spelled out in seven places of owner and caller's side (methods of group.Work); a witness was looked up twice; zero positions were compared with a literal. No change of behaviour.

--- a/core/place/electable.go
+++ b/core/place/electable.go
@@ -21,6 +21,6 @@
 	case e.Answered >= e.Members:
 		return true
 	default:
-		return e.Acknowledged != (types.LogPosition{}) && !e.Longest.Before(e.Acknowledged)
+		return !e.Acknowledged.IsZero() && !e.Longest.Before(e.Acknowledged)
 	}
 }
--- a/core/place/members.go
+++ b/core/place/members.go
@@ -102,7 +102,7 @@
 	if !known {
 		return types.LogPosition{}, false
 	}
-	if own.Term < d.term && own != (types.LogPosition{}) {
+	if own.Term < d.term && !own.IsZero() {
 		own = d.base
 	}
 	return floor.Max(own), true
--- a/core/types/logposition.go
+++ b/core/types/logposition.go
@@ -24,5 +24,8 @@
 	return p
 }
 
+// IsZero reports whether the position names no place in a log.
+func (p LogPosition) IsZero() bool { return p == LogPosition{} }
+
 // String returns the term and the number, separated by a dot.
 func (p LogPosition) String() string { return p.Term.String() + "." + p.Number.String() }
--- a/io/front/deliver.go
+++ b/io/front/deliver.go
@@ -48,7 +48,7 @@
 
 // settle notes the position of a commit of the session.
 func (s *session) settle(statement stmt.Statement, r stmt.Reply) {
-	if r.Position != (types.LogPosition{}) {
+	if !r.Position.IsZero() {
 		s.position = r.Position
 	}
 	writes := statement.Writes()
@@ -72,8 +72,7 @@
 		Priority:  s.route.Priority,
 		Class:     place.Class(s.route.Name),
 	}
-	reads := !w.Inside && statement.Reads() || w.OpensRead
-	w.Replicas = reads && s.route.Consistency != routes.Primary
+	w.Replicas = w.Reads() && s.route.Consistency != routes.Primary
 	if s.route.Consistency != routes.Own {
 		w.Own = types.LogPosition{}
 	}
@@ -88,9 +87,8 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(limit))
 	defer cancel()
-	continues := w.Inside && !w.Opens && !w.OpensRead
 	for {
-		if continues && s.runner == nil {
+		if w.Continues() && s.runner == nil {
 			return stmt.Fail(stmt.RolledBack, "the way to the transaction's owner broke; nothing of it is kept")
 		}
 		if err := s.reach(ctx); err != nil {
@@ -107,7 +105,7 @@
 			return r
 		}
 		s.drop()
-		if r, final := s.broken(w, err, continues); final {
+		if r, final := s.broken(w, err); final {
 			return r
 		}
 		if !pause.For(ctx, reroutePause) {
@@ -117,14 +115,14 @@
 }
 
 // broken decides what the loss of the way to the owner means; final comes with the answer for the caller.
-func (s *session) broken(w group.Work, err error, continues bool) (stmt.Reply, bool) {
+func (s *session) broken(w group.Work, err error) (stmt.Reply, bool) {
 	notRun := errors.Is(err, group.ErrNotOwner)
 	switch {
-	case continues && w.Statement.Kind == stmt.Commit && !notRun:
+	case w.Continues() && w.Statement.Kind == stmt.Commit && !notRun:
 		return stmt.Fail(stmt.OutcomeUnknown, "the answer to the commit is missing: "+err.Error()), true
-	case continues:
+	case w.Continues():
 		return stmt.Fail(stmt.RolledBack, "nothing of the transaction is kept: "+err.Error()), true
-	case notRun || w.Inside || w.Statement.Reads():
+	case notRun || w.Repeatable():
 		return stmt.Reply{}, false
 	default:
 		return stmt.Fail(stmt.OutcomeUnknown, "the answer to the write is missing: "+err.Error()), true
--- a/io/front/session.go
+++ b/io/front/session.go
@@ -124,7 +124,7 @@
 // answer sends the reply with the session's state.
 func (s *session) answer(statement stmt.Statement, r stmt.Reply, started time.Time) error {
 	r.State = s.state
-	if r.Position == (types.LogPosition{}) {
+	if r.Position.IsZero() {
 		r.Position = s.position
 	}
 	err := s.caller.Reply(r)
--- a/io/group/group.go
+++ b/io/group/group.go
@@ -67,9 +67,6 @@
 // Retire refuses new work but lets open transactions end.
 func (g *Group) Retire() { g.desk.Retire() }
 
-// Database returns the database that the group serves.
-func (g *Group) Database() types.DatabaseID { return g.settings.Database }
-
 // Primary returns the primary and its data centre; false when there is none at work.
 func (g *Group) Primary() (routes.Member, bool) {
 	target, open := g.desk.Primary()
--- a/io/group/probe.go
+++ b/io/group/probe.go
@@ -69,24 +69,35 @@
 }
 
 func (g *Group) ask(seen *sighting, c *pooled, question stmt.Statement) {
-	replies, err := c.conn.Exchange(time.Now().Add(probeTimeout), question)
+	seen.status, seen.applied, seen.err = AskStatus(g.settings.Dialer, c.conn, time.Now().Add(probeTimeout), question)
+}
+
+// AskStatus asks a member a question that it answers with its status, and returns where the log that its reads see
+// ends. A member without a free slot is alive: it is reported as errBusy with that position.
+func AskStatus(
+	d Dialer, c Conn, deadline time.Time, question stmt.Statement,
+) (stmt.MemberStatus, types.LogPosition, error) {
+	replies, err := c.Exchange(deadline, question)
 	if err != nil {
-		seen.err = err
-		return
+		return stmt.MemberStatus{}, types.LogPosition{}, err
 	}
 	r := replies[0]
 	if r.Code == stmt.Overloaded {
-		// A member without a free slot is alive; its connection tells where its log was.
-		seen.err = errBusy
-		seen.applied = r.Position
-		return
+		return stmt.MemberStatus{}, r.Position, errBusy
 	}
 	if r.Code != stmt.OK || len(r.Rows) == 0 {
-		seen.err = errors.Errorf("the member answered %s %s to a question for its status", r.Code, r.Text)
-		return
+		return stmt.MemberStatus{}, types.LogPosition{},
+			errors.Errorf("the member answered %s %s to a question for its status", r.Code, r.Text)
 	}
-	seen.status, seen.err = g.settings.Dialer.ParseStatus(r.Rows[0])
-	seen.applied = r.Position
+	status, err := d.ParseStatus(r.Rows[0])
+	return status, r.Position, err
+}
+
+// busy reports whether the member is alive but took neither a connection nor the question at the moment.
+func (s sighting) busy() bool {
+	var r Refused
+	return errors.Is(s.err, errBusy) ||
+		errors.As(s.err, &r) && (r.Code == stmt.TooManyConnections || r.Code == stmt.Overloaded)
 }
 
 // probeAll asks all members at once.
--- a/io/group/session.go
+++ b/io/group/session.go
@@ -44,7 +44,7 @@
 	case w.Abandon:
 		s.abandon()
 		return stmt.Reply{}, nil
-	case w.Inside && !w.Opens && !w.OpensRead:
+	case w.Continues():
 		return s.continued(w), nil
 	default:
 		return s.fresh(w)
@@ -57,7 +57,7 @@
 	now := g.settings.Clock.Now()
 	need := place.Need{
 		Class: w.Class, Priority: w.Priority, Objective: now.Add(w.Objective), Deadline: now.Add(w.Limit),
-		Opens: w.Opens || w.OpensRead,
+		Opens: w.Begins(),
 	}
 	g.budget.Earn()
 	var last stmt.Reply
@@ -81,7 +81,7 @@
 			return reply, nil
 		}
 		last = reply
-		if run == lost && !w.repeatable() {
+		if run == lost && !w.Repeatable() {
 			g.requests.Warn("outcome unknown", "request", w.Statement.ID, "member", grant.Target, "reason", reply.Text)
 			return stmt.Fail(stmt.OutcomeUnknown, "the answer of member "+string(grant.Target)+" is missing: "+reply.Text), nil
 		}
@@ -94,10 +94,6 @@
 	return s.givenUp(w, last), nil
 }
 
-// repeatable reports whether the first statement may run again although its answer is missing: reads change nothing,
-// and the write of a transaction whose connection was closed is rolled back.
-func (w Work) repeatable() bool { return w.reads() || w.Opens || w.OpensRead }
-
 // refused answers a statement that no member was asked to run.
 func (s *Session) refused(w Work, need place.Need, err error, last stmt.Reply) stmt.Reply {
 	text := err.Error()
@@ -145,7 +141,7 @@
 func (s *Session) attempt(w Work, grant *place.Grant, need place.Need) (stmt.Reply, runEnd) {
 	g := s.group
 	limit := g.settings.Clock.Until(need.Deadline)
-	if w.repeatable() {
+	if w.Repeatable() {
 		limit = min(limit, max(minAttempt, attemptFactor*g.desk.Expected(need.Class)))
 	}
 	deadline := time.Now().Add(limit)
@@ -178,21 +174,25 @@
 		return r, notRun
 	}
 	if grant.Primary && !g.settings.Ownership.Authority().Valid() {
-		p.drop(conn)
-		g.desk.Release(grant, 0, false)
+		s.discard(grant, p, conn)
 		return stmt.Fail(stmt.Overloaded, "the ownership ended"), notRun
 	}
 	return s.send(w, grant, p, conn, after, deadline)
 }
 
+// discard gives back the grant of an attempt whose connection is of no more use.
+func (s *Session) discard(grant *place.Grant, p *pool, conn *pooled) {
+	p.drop(conn)
+	s.group.desk.Release(grant, 0, false)
+}
+
 // unfit returns a connection that could not be made ready.
 func (s *Session) unfit(grant *place.Grant, p *pool, conn *pooled, r stmt.Reply) {
 	g := s.group
 	if r.Code == stmt.Behind {
 		g.desk.NoteReplica(grant.Target, r.Position)
 	}
-	p.drop(conn)
-	g.desk.Release(grant, 0, false)
+	s.discard(grant, p, conn)
 	if r.Code != stmt.Behind {
 		g.suspect(grant.Target)
 	}
@@ -202,15 +202,14 @@
 func (s *Session) send(w Work, grant *place.Grant, p *pool, conn *pooled, after types.LogPosition, deadline time.Time) (stmt.Reply, runEnd) {
 	g := s.group
 	statement := named(w.Statement)
-	if !w.Opens && !w.OpensRead && w.Statement.Reads() {
+	if !w.Begins() && w.Statement.Reads() {
 		statement.After = after
 	}
 	asked := g.settings.Clock.Now()
 	replies, err := conn.conn.Exchange(deadline, statement)
 	if err != nil {
-		p.drop(conn)
+		s.discard(grant, p, conn)
 		p.condemn()
-		g.desk.Release(grant, 0, false)
 		g.suspect(grant.Target)
 		return stmt.Fail(stmt.Overloaded, err.Error()), lost
 	}
@@ -218,8 +217,7 @@
 	valid := g.settings.Ownership.Authority().Valid()
 	s.learn(grant, r, asked, valid)
 	if grant.Primary && !valid {
-		p.drop(conn)
-		g.desk.Release(grant, 0, false)
+		s.discard(grant, p, conn)
 		return stmt.Fail(stmt.RolledBack, "the ownership ended before the answer"), lost
 	}
 	if r.Code != stmt.OK {
@@ -228,9 +226,8 @@
 	if w.Statement.Writes() {
 		g.acknowledge(r.Position)
 	}
-	opens := w.Opens || w.OpensRead
-	g.desk.Release(grant, g.settings.Clock.Since(asked), opens)
-	if opens {
+	g.desk.Release(grant, g.settings.Clock.Since(asked), w.Begins())
+	if w.Begins() {
 		s.pinned = &pinned{conn: conn, pool: p, target: grant.Target, primary: grant.Primary}
 		return s.afterInside(w, r), ended
 	}
@@ -240,7 +237,7 @@
 
 // learn takes the position that came with an answer.
 func (s *Session) learn(grant *place.Grant, r stmt.Reply, asked clock.Moment, valid bool) {
-	if r.Position == (types.LogPosition{}) {
+	if r.Position.IsZero() {
 		return
 	}
 	if !grant.Primary {
@@ -255,7 +252,7 @@
 // unsuccessful handles a member's refusal or failure of a fresh statement.
 func (s *Session) unsuccessful(w Work, grant *place.Grant, p *pool, conn *pooled, r stmt.Reply) (stmt.Reply, runEnd) {
 	g := s.group
-	if w.Opens || w.OpensRead || r.State != stmt.Idle || r.Code == stmt.UnknownStatement {
+	if w.Begins() || r.State != stmt.Idle || r.Code == stmt.UnknownStatement {
 		p.drop(conn)
 	} else {
 		p.put(conn)
@@ -268,7 +265,7 @@
 	if r.Code.NotRun() {
 		return r, notRun
 	}
-	if r.Code == stmt.Failed && w.repeatable() {
+	if r.Code == stmt.Failed && w.Repeatable() {
 		return r, notRun
 	}
 	if w.Inside {
--- a/io/group/steward.go
+++ b/io/group/steward.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"turmericpulley/core/clock"
 	"turmericpulley/core/pause"
 	"turmericpulley/core/routes"
@@ -177,7 +175,7 @@
 			s.verified(ctx, seen)
 			return
 		}
-		if errors.Is(seen.err, errBusy) || isRefused(seen.err, stmt.TooManyConnections, stmt.Overloaded) {
+		if seen.busy() {
 			return
 		}
 		last = seen.err
@@ -230,11 +228,11 @@
 // sight takes what a member that is not the primary said.
 func (s *steward) sight(seen sighting) {
 	g := s.group
-	if seen.err != nil && !errors.Is(seen.err, errBusy) && !isRefused(seen.err, stmt.TooManyConnections, stmt.Overloaded) {
+	if seen.err != nil && !seen.busy() {
 		g.setUsable(seen.member.Target, false, seen.err.Error())
 		return
 	}
-	if seen.applied != (types.LogPosition{}) {
+	if !seen.applied.IsZero() {
 		g.desk.NoteReplica(seen.member.Target, seen.applied)
 	}
 	if seen.err == nil && seen.status.Primary && seen.status.Term < g.currentTerm() {
@@ -283,16 +281,3 @@
 		g.logger.Info("old primary told to step down", "member", m.Target, "term", term, "error", seen.err)
 	})
 }
-
-func isRefused(err error, codes ...stmt.Code) bool {
-	var r Refused
-	if !errors.As(err, &r) {
-		return false
-	}
-	for _, c := range codes {
-		if r.Code == c {
-			return true
-		}
-	}
-	return false
-}
--- a/io/group/work.go
+++ b/io/group/work.go
@@ -31,5 +31,15 @@
 	Values map[string]string
 }
 
-// reads reports whether the work changes nothing and may be sent again.
-func (w Work) reads() bool { return w.Statement.Reads() && !w.Inside || w.OpensRead }
+// Begins reports whether the statement is the first of a transaction.
+func (w Work) Begins() bool { return w.Opens || w.OpensRead }
+
+// Continues reports whether the statement belongs to a transaction that the owner has begun already.
+func (w Work) Continues() bool { return w.Inside && !w.Begins() }
+
+// Reads reports whether the work changes nothing.
+func (w Work) Reads() bool { return w.Statement.Reads() && !w.Inside || w.OpensRead }
+
+// Repeatable reports whether the work may run again although its answer is missing: reads change nothing, and the write
+// of a transaction whose connection was closed is rolled back.
+func (w Work) Repeatable() bool { return w.Reads() || w.Begins() }
--- a/io/node/witness.go
+++ b/io/node/witness.go
@@ -4,9 +4,11 @@
 	"context"
 	"time"
 
+	"turmericpulley/core/fleet"
 	"turmericpulley/core/routes"
 	"turmericpulley/core/stmt"
 	"turmericpulley/core/types"
+	"turmericpulley/io/group"
 	"turmericpulley/io/wire"
 )
 
@@ -22,19 +24,19 @@
 
 // witness asks a few instances, those in the member's data centre first, whether they see the member as primary.
 func (n *Node) witness(ctx context.Context, member routes.Member, term types.Term) (types.InstanceID, bool) {
-	var asked []types.InstanceID
+	var asked []fleet.Instance
 	add := func(near bool) {
 		for _, i := range n.roster.all() {
 			if len(asked) < witnesses && i.ID != n.settings.Self.ID && (i.DataCentre == member.DataCentre) == near {
-				asked = append(asked, i.ID)
+				asked = append(asked, i)
 			}
 		}
 	}
 	add(true)
 	add(false)
 	answers := make(chan sighted, len(asked))
-	for _, id := range asked {
-		n.running.Go(func() { answers <- n.askWitness(ctx, id, member) })
+	for _, i := range asked {
+		n.running.Go(func() { answers <- n.askWitness(ctx, i, member) })
 	}
 	for range asked {
 		if a := <-answers; a.primary && a.term >= term {
@@ -44,18 +46,14 @@
 	return "", false
 }
 
-func (n *Node) askWitness(ctx context.Context, id types.InstanceID, member routes.Member) sighted {
-	instance, known := n.roster.instance(id)
-	if !known {
-		return sighted{instance: id}
-	}
+func (n *Node) askWitness(ctx context.Context, instance fleet.Instance, member routes.Member) sighted {
 	reply, err := n.call(ctx, instance.PeerAddress, &wire.Call{Kind: &wire.Call_Probe{Probe: &wire.Probe{
 		Database: string(member.Database), Target: string(member.Target), Address: member.Address,
 	}}})
 	if err != nil {
-		return sighted{instance: id}
+		return sighted{}
 	}
-	return sighted{id, reply.GetProbed().GetPrimary(), types.Term(reply.GetProbed().GetTerm())}
+	return sighted{instance.ID, reply.GetProbed().GetPrimary(), types.Term(reply.GetProbed().GetTerm())}
 }
 
 // probe asks a member for its status on behalf of another instance.
@@ -69,11 +67,8 @@
 		return &wire.Probed{}
 	}
 	defer conn.Close()
-	replies, err := conn.Exchange(time.Now().Add(memberTimeout), stmt.Statement{Kind: stmt.Status})
-	if err != nil || replies[0].Code != stmt.OK || len(replies[0].Rows) == 0 {
-		return &wire.Probed{}
-	}
-	status, err := n.settings.Dialer.ParseStatus(replies[0].Rows[0])
+	question := stmt.Statement{Kind: stmt.Status}
+	status, _, err := group.AskStatus(n.settings.Dialer, conn, time.Now().Add(memberTimeout), question)
 	if err != nil {
 		return &wire.Probed{}
 	}
