--- a/io/check/instance.go
+++ b/io/check/instance.go
@@ -69,7 +69,7 @@
 	if seeds := seedsOf(i, others); seeds != "" {
 		arguments = append(arguments, "--seeds", seeds)
 	}
-	i.Process = newProcess(tb, string(i.ID), arguments...)
+	i.Process = NewProcess(tb, string(i.ID), arguments...)
 }
 
 func seedsOf(i *Instance, others []*Instance) string {
--- a/io/check/member.go
+++ b/io/check/member.go
@@ -38,6 +38,6 @@
 	} else {
 		arguments = append(arguments, "--role", "replica", "--primary", primary.Replication.Address())
 	}
-	m.Process = newProcess(tb, string(target), arguments...)
+	m.Process = NewProcess(tb, string(target), arguments...)
 	return m
 }
--- a/io/check/platform.go
+++ b/io/check/platform.go
@@ -29,7 +29,7 @@
 	path := filepath.Join(tb.TempDir(), "seed.json")
 	require.NoError(tb, os.WriteFile(path, seed, 0o600))
 	p := &Platform{Direct: NewAddresses(tb, 1)[0]}
-	p.Process = newProcess(tb, "platform", "standin", "platform", "--address", p.Direct, "--seed-file", path)
+	p.Process = NewProcess(tb, "platform", "standin", "platform", "--address", p.Direct, "--seed-file", path)
 	return p
 }
 
--- a/io/check/process.go
+++ b/io/check/process.go
@@ -34,8 +34,8 @@
 	exited  chan struct{}
 }
 
-// newProcess starts the program and ends it with the test.
-func newProcess(tb testing.TB, name string, arguments ...string) *Process {
+// NewProcess starts the program and ends it with the test.
+func NewProcess(tb testing.TB, name string, arguments ...string) *Process {
 	tb.Helper()
 	p := &Process{tb: tb, name: name, arguments: arguments, logPath: filepath.Join(tb.TempDir(), name+".log")}
 	p.Start()
--- a/io/front/caller.go
+++ b/io/front/caller.go
@@ -23,6 +23,8 @@
 	Reply(r stmt.Reply) error
 	// SetIdleLimit bounds the wait for the next statement; zero means no bound.
 	SetIdleLimit(limit time.Duration) error
+	// Interrupt ends a wait for the next statement with os.ErrDeadlineExceeded.
+	Interrupt()
 	// Pending reports whether something has arrived that was not read yet.
 	Pending() bool
 	// Close ends the connection.
--- a/io/front/deliver.go
+++ b/io/front/deliver.go
@@ -143,6 +143,7 @@
 	return nil
 }
 
+// drop ends the session at the owner, which rolls back what is open there.
 func (s *session) drop() {
 	if s.runner != nil {
 		s.runner.Close()
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -61,9 +61,9 @@
 	logger   hclog.Logger
 	counters Counters
 	running  sync.WaitGroup
-	// stopAt is the Unix time in nanoseconds of the signal to stop, closeAt when idle sessions are closed, and lateAt
-	// when open transactions are.
-	stopAt, closeAt, lateAt atomic.Int64
+	// closeAt is the Unix time in nanoseconds from which a stopping server closes idle sessions, and lateAt open
+	// transactions; zero while it does not stop.
+	closeAt, lateAt atomic.Int64
 
 	mu       sync.Mutex
 	sessions map[Caller]bool
@@ -105,6 +105,7 @@
 	s.counters.Sessions.Add(1)
 	s.running.Go(func() {
 		defer func() {
+			_ = caller.Close()
 			s.counters.Sessions.Add(-1)
 			s.mu.Lock()
 			delete(s.sessions, caller)
@@ -123,17 +124,14 @@
 			s.counters.Malformed.Add(1)
 			_ = caller.Reject(stmt.Malformed, err.Error())
 		}
-		_ = caller.Close()
 		return
 	}
 	if code, text := s.admit(name); code != stmt.OK {
 		s.logger.Info("session refused", "route", name, "code", code, "reason", text)
 		_ = caller.Reject(code, text)
-		_ = caller.Close()
 		return
 	}
 	if caller.Welcome() != nil {
-		_ = caller.Close()
 		return
 	}
 	session := &session{server: s, caller: caller, name: name, values: map[string]string{}, prepared: map[string]prepared{}}
@@ -191,9 +189,8 @@
 func (s *Server) Stop(grace time.Duration) {
 	now := time.Now()
 	rotation := min(rotationWait, grace/3)
-	s.closeAt.Store(now.Add(rotation).UnixNano())
 	s.lateAt.Store(now.Add(time.Duration(transactionShare * float64(grace))).UnixNano())
-	s.stopAt.Store(now.UnixNano())
+	s.closeAt.Store(now.Add(rotation).UnixNano())
 	end := now.Add(grace)
 	pause.For(context.Background(), rotation)
 	for time.Now().Before(end) {
@@ -218,13 +215,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for caller := range s.sessions {
-		if n, ok := caller.(interface{ SetReadDeadline(time.Time) error }); ok {
-			_ = n.SetReadDeadline(time.Now())
-		}
+		caller.Interrupt()
 	}
 }
 
-func (s *Server) isStopping() bool { return s.stopAt.Load() != 0 }
+func (s *Server) isStopping() bool { return s.closeAt.Load() != 0 }
 
 // stopping reports whether a session in the state is to be closed now.
 func (s *Server) stopping(state stmt.State) bool {
--- a/io/front/session.go
+++ b/io/front/session.go
@@ -51,7 +51,7 @@
 
 // serve answers the caller's statements until it leaves or the server stops.
 func (s *session) serve() {
-	defer s.leave()
+	defer s.drop()
 	for {
 		s.limitIdle()
 		if s.server.stopping(s.state) && !s.caller.Pending() {
@@ -73,8 +73,7 @@
 			return
 		}
 		started := time.Now()
-		err = s.answer(statement, s.run(statement), started)
-		if err != nil {
+		if s.answer(statement, s.run(statement), started) != nil {
 			return
 		}
 	}
@@ -113,14 +112,6 @@
 	return true
 }
 
-func (s *session) leave() {
-	if s.runner != nil {
-		s.runner.Close()
-		s.runner = nil
-	}
-	_ = s.caller.Close()
-}
-
 // answer sends the reply with the session's state.
 func (s *session) answer(statement stmt.Statement, r stmt.Reply, started time.Time) error {
 	r.State = s.state
@@ -197,8 +188,7 @@
 func (s *session) abandon() {
 	if s.runner != nil && s.state != stmt.Idle && s.opening == 0 {
 		if _, err := s.runner.Do(group.Work{Abandon: true, Inside: true}); err != nil {
-			s.runner.Close()
-			s.runner = nil
+			s.drop()
 		}
 	}
 	s.opening = 0
--- a/io/peers/control_test.go
+++ b/io/peers/control_test.go
@@ -91,9 +91,9 @@
 	return total
 }
 
-func processorTime(b *testing.B) time.Duration {
-	b.Helper()
+func processorTime(tb testing.TB) time.Duration {
+	tb.Helper()
 	usage := syscall.Rusage{}
-	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	require.NoError(tb, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
--- a/io/peers/spin_test.go
+++ b/io/peers/spin_test.go
@@ -6,7 +6,6 @@
 	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -81,16 +80,9 @@
 		require.NoError(t, channel.Send(&wire.Call{}))
 	}
 	started.Wait()
-	before := usedProcessor(t)
+	before := processorTime(t)
 	faulty.failing.Store(true)
 	_ = (<-last).Send(&wire.CallReply{})
 	ended.Wait()
-	require.Less(t, usedProcessor(t)-before, readDelay/4)
-}
-
-func usedProcessor(t *testing.T) time.Duration {
-	t.Helper()
-	usage := syscall.Rusage{}
-	require.NoError(t, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	require.Less(t, processorTime(t)-before, readDelay/4)
 }
