refactor: one backoff, one way to rank instances and to write a record

Read again as a whole: the doubling pause stood in io/peers, io/load and io/node (pause.Backoff; the jitter stays with the first two, each with its own randomness). io/node ranked instances in three places, wrote owners' records in two, read the present record under its lock in seven and sent a call on a channel in two (roster.ranked, holding.put, holding.current, Node.exchange). The raw configuration lay in the roster behind the roster's lock and is the feed's now.

--- a/io/load/backoff.go
+++ b/io/load/backoff.go
@@ -16,14 +16,15 @@
 // backoff waits between the attempts of one request.
 type backoff struct {
 	random *rand.Rand
-	limit  time.Duration
+	spans  pause.Backoff
 }
 
-func newBackoff(random *rand.Rand) *backoff { return &backoff{random: random, limit: firstBackoff} }
+func newBackoff(random *rand.Rand) *backoff {
+	return &backoff{random: random, spans: pause.Backoff{Least: firstBackoff, Most: lastBackoff}}
+}
 
 // wait sleeps for a random part of the present limit and doubles the limit; it reports false when the context ended.
 func (b *backoff) wait(ctx context.Context) bool {
-	span := b.limit/2 + time.Duration(b.random.Int64N(int64(b.limit/2)))
-	b.limit = min(2*b.limit, lastBackoff)
-	return pause.For(ctx, span)
+	limit := b.spans.Next()
+	return pause.For(ctx, limit/2+time.Duration(b.random.Int64N(int64(limit/2))))
 }
--- a/io/node/calls.go
+++ b/io/node/calls.go
@@ -28,14 +28,14 @@
 		return nil, err
 	}
 	defer channel.Close()
-	return n.exchange(ctx, channel, call)
+	deadline, _ := ctx.Deadline()
+	return n.exchange(deadline, channel, call)
 }
 
-func (n *Node) exchange(ctx context.Context, channel *peers.Channel, call *wire.Call) (*wire.CallReply, error) {
-	if deadline, bounded := ctx.Deadline(); bounded {
-		if err := channel.Conn().SetDeadline(deadline); err != nil {
-			return nil, errors.Wrap(err, "setting a deadline")
-		}
+// exchange sends a call on an open channel and waits for the answer; both carry the versions of the configuration.
+func (n *Node) exchange(deadline time.Time, channel *peers.Channel, call *wire.Call) (*wire.CallReply, error) {
+	if err := channel.Conn().SetDeadline(deadline); err != nil {
+		return nil, errors.Wrap(err, "setting a deadline")
 	}
 	call.Configuration = n.version()
 	if err := channel.Send(call); err != nil {
@@ -184,12 +184,11 @@
 		n.holder.armed(kind.Arm)
 		return &wire.CallReply{Kind: &wire.CallReply_Armed{Armed: &wire.Armed{}}}
 	case *wire.Call_ConfigurationQuery:
-		n.roster.mu.Lock()
-		i := n.roster.configuration
-		n.roster.mu.Unlock()
-		return &wire.CallReply{Kind: &wire.CallReply_ConfigurationValue{ConfigurationValue: &wire.Configuration{
-			Value: i.Value, Revision: uint64(i.Revision),
-		}}}
+		newest := &wire.Configuration{}
+		if i := n.feed.newest.Load(); i != nil {
+			newest.Value, newest.Revision = i.Value, uint64(i.Revision)
+		}
+		return &wire.CallReply{Kind: &wire.CallReply_ConfigurationValue{ConfigurationValue: newest}}
 	default:
 		return &wire.CallReply{}
 	}
--- a/io/node/claim.go
+++ b/io/node/claim.go
@@ -4,10 +4,8 @@
 	"context"
 	"time"
 
-	"turmericpulley/core/fleet"
 	"turmericpulley/core/hold"
 	"turmericpulley/core/pause"
-	"turmericpulley/core/policy"
 	"turmericpulley/core/routes"
 	"turmericpulley/core/types"
 )
@@ -53,10 +51,8 @@
 
 // rank returns this instance's place among those that may own the database; the present owner does not count.
 func (h *holder) rank(database types.DatabaseID, record owned) int {
-	membership := fleet.Membership{Instances: h.node.roster.all()}
-	subject := policy.Database{Database: database}
 	rank := 0
-	for _, i := range membership.Ranked(subject) {
+	for _, i := range h.node.roster.ranked(database, "") {
 		if i.ID == h.node.settings.Self.ID {
 			return rank
 		}
@@ -70,7 +66,7 @@
 // claim writes a record that names this instance, and reports whether the store took it or another instance was first.
 func (h *holder) claim(ctx context.Context, database routes.Database, record owned) bool {
 	n := h.node
-	next := owned{record.HandedTo(n.settings.Self), record.revision}
+	next := record.handedTo(n.settings.Self)
 	taken := h.prepare(database, next)
 	sent := n.settings.Clock.Now()
 	if err := taken.write(ctx, next, sent); err != nil {
@@ -107,14 +103,11 @@
 func (h *holder) restore(ctx context.Context, held *holding) {
 	n := h.node
 	n.logger.Warn("record of the owner is gone, writing it again", "database", held.database)
-	held.mu.Lock()
-	next := held.record
-	held.mu.Unlock()
+	next := held.current()
 	next.revision = 0
 	if err := held.write(ctx, next, n.settings.Clock.Now()); err != nil {
 		n.logger.Warn("record of the owner not written", "database", held.database, "error", err)
 		h.reread(ctx, held.database)
 		pause.For(ctx, holderInterval)
-		return
 	}
 }
--- a/io/node/deputy.go
+++ b/io/node/deputy.go
@@ -6,9 +6,7 @@
 	"time"
 
 	"turmericpulley/core/clock"
-	"turmericpulley/core/fleet"
 	"turmericpulley/core/hold"
-	"turmericpulley/core/policy"
 	"turmericpulley/core/routes"
 	"turmericpulley/core/types"
 	"turmericpulley/io/wire"
@@ -80,16 +78,13 @@
 // deputise names a deputy when there is none that lives, and tells it of the members.
 func (h *holder) deputise(ctx context.Context, held *holding) {
 	n := h.node
-	held.mu.Lock()
-	record := held.record
-	held.mu.Unlock()
+	record := held.current()
 	if record.Deputy != nil && !h.watches.dead(*record.Deputy, 0) || n.settings.Clock.Since(held.acquired) < settleAfter ||
 		n.settings.Clock.Since(held.deputised) < deputyPause || h.isLeaving() {
 		return
 	}
 	held.deputised = n.settings.Clock.Now()
-	membership := fleet.Membership{Instances: n.roster.all()}
-	for _, i := range membership.Ranked(policy.Database{Database: held.database}) {
+	for _, i := range n.roster.ranked(held.database, "") {
 		candidate := hold.Holder{Instance: i.ID, Incarnation: i.Incarnation}
 		if i.ID == n.settings.Self.ID || record.Deputy != nil && *record.Deputy == candidate || !n.offer(ctx, i, held.database, false) {
 			continue
@@ -109,9 +104,7 @@
 
 // arm tells the deputy of the members unless it knows them.
 func (h *holder) arm(ctx context.Context, held *holding) {
-	held.mu.Lock()
-	deputy := held.record.Deputy
-	held.mu.Unlock()
+	deputy := held.current().Deputy
 	members := h.membersOf(held.database)
 	if deputy == nil || len(members) == 0 || slices.Equal(members, held.armed) {
 		return
@@ -181,10 +174,7 @@
 		return
 	}
 	held.deputised = n.settings.Clock.Now()
-	held.mu.Lock()
-	next := owned{held.record.HandedTo(n.settings.Self), held.record.revision}
-	held.mu.Unlock()
-	if err := held.write(ctx, next, n.settings.Clock.Now()); err != nil {
+	if err := held.write(ctx, held.current().handedTo(n.settings.Self), n.settings.Clock.Now()); err != nil {
 		n.logger.Info("deputy not yet the owner", "database", held.database, "error", err)
 		return
 	}
@@ -194,19 +184,7 @@
 	n.logger.Info("deputy is the owner", "database", held.database, "epoch", held.authority.Epoch())
 }
 
-// isDeputy reports whether any record names this instance as the deputy.
-func (h *holder) isDeputy() bool {
-	self := h.node.settings.Self
-	h.node.roster.mu.Lock()
-	defer h.node.roster.mu.Unlock()
-	for _, o := range h.node.roster.owners {
-		if o.HasDeputy(self) {
-			return true
-		}
-	}
-	return false
-}
-
+// membersOf returns the last known members of the database.
 func (h *holder) membersOf(database types.DatabaseID) []routes.Member {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/io/node/feed.go
+++ b/io/node/feed.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"turmericpulley/core/fault"
 	"turmericpulley/core/pause"
-	"turmericpulley/core/routes"
 	"turmericpulley/core/types"
 	"turmericpulley/io/wire"
 )
@@ -33,28 +34,19 @@
 // feed follows the store.
 type feed struct {
 	node *Node
+	// newest is the operator's newest configuration as the store held it; nil before the first.
+	newest atomic.Pointer[Item]
 }
 
-// backoff is the pause after failures in a row.
-type backoff struct {
-	next time.Duration
-}
-
-// wait pauses after a failure.
-func (b *backoff) wait(ctx context.Context) {
-	b.next = min(max(2*b.next, retryPause), maxRetryPause)
-	pause.For(ctx, b.next)
-}
-
-// reset notes a success.
-func (b *backoff) reset() { b.next = 0 }
+// newFailures returns the pauses after failures in a row.
+func newFailures() *pause.Backoff { return &pause.Backoff{Least: retryPause, Most: maxRetryPause} }
 
 // followConfiguration keeps the configuration current.
 func (f *feed) followConfiguration(ctx context.Context) {
 	n := f.node
 	var after types.Revision
 	available := true
-	failures := &backoff{}
+	failures := newFailures()
 	for ctx.Err() == nil {
 		if after == 0 {
 			after = f.readConfiguration(ctx, &available, failures)
@@ -63,10 +55,10 @@
 		items, next, err := n.store.Watch(ctx, n.settings.Formats.ConfigurationPrefix, after, configurationWait)
 		if err != nil {
 			after = 0
-			failures.wait(ctx)
+			pause.For(ctx, failures.Next())
 			continue
 		}
-		failures.reset()
+		failures.Reset()
 		for _, i := range items {
 			f.takeConfiguration(i)
 		}
@@ -78,7 +70,7 @@
 }
 
 // readConfiguration reads the whole configuration, from another instance when the store does not answer.
-func (f *feed) readConfiguration(ctx context.Context, available *bool, failures *backoff) types.Revision {
+func (f *feed) readConfiguration(ctx context.Context, available *bool, failures *pause.Backoff) types.Revision {
 	n := f.node
 	items, revision, err := n.store.Range(ctx, n.settings.Formats.ConfigurationPrefix)
 	if err == nil {
@@ -87,13 +79,13 @@
 			f.takeConfiguration(i)
 		}
 		if len(items) == 0 {
-			failures.wait(ctx)
+			pause.For(ctx, failures.Next())
 		}
 		return revision
 	}
 	f.tellStore(available, false, err.Error())
 	f.askPeers(ctx)
-	failures.wait(ctx)
+	pause.For(ctx, failures.Next())
 	return 0
 }
 
@@ -120,16 +112,10 @@
 		n.logger.Error("configuration not understood", "revision", i.Revision, "error", err)
 		return
 	}
-	n.takeTable(table, i)
-}
-
-func (n *Node) takeTable(table *routes.Table, i Item) {
 	if !n.routes.Offer(table) {
 		return
 	}
-	n.roster.mu.Lock()
-	n.roster.configuration = i
-	n.roster.mu.Unlock()
+	f.newest.Store(&i)
 	n.logger.Info("configuration in force", "version", int64(table.Version), "revision", i.Revision, "routes", len(table.Routes))
 }
 
@@ -164,7 +150,7 @@
 	n := f.node
 	var after types.Revision
 	announced := false
-	failures := &backoff{}
+	failures := newFailures()
 	for ctx.Err() == nil {
 		if !announced {
 			announced = f.announce(ctx)
@@ -172,26 +158,27 @@
 		if after == 0 {
 			items, revision, err := n.store.Range(ctx, fleetPrefix)
 			if err != nil {
-				failures.wait(ctx)
+				pause.For(ctx, failures.Next())
 				continue
 			}
 			after = revision
 			announced = f.takeFleet(items) && announced
 			n.roster.retain(fleetPrefix, items, revision)
-			announced = announced && contains(items, instanceKey(n.settings.Self.ID))
+			own := instanceKey(n.settings.Self.ID)
+			announced = announced && slices.ContainsFunc(items, func(i Item) bool { return i.Key == own })
 			continue
 		}
 		items, next, err := n.store.Watch(ctx, fleetPrefix, after, fleetWait)
 		if err != nil {
 			after = 0
-			failures.wait(ctx)
+			pause.For(ctx, failures.Next())
 			continue
 		}
-		failures.reset()
+		failures.Reset()
 		announced = f.takeFleet(items) && announced
 		after = next
 		switch {
-		case containsOwner(items):
+		case slices.ContainsFunc(items, func(i Item) bool { return strings.HasPrefix(i.Key, ownersPrefix) }):
 			pause.For(ctx, ownerPause)
 		case len(items) > 0:
 			pause.For(ctx, joinPause)
@@ -199,24 +186,6 @@
 	}
 }
 
-func containsOwner(items []Item) bool {
-	for _, i := range items {
-		if strings.HasPrefix(i.Key, ownersPrefix) {
-			return true
-		}
-	}
-	return false
-}
-
-func contains(items []Item, key string) bool {
-	for _, i := range items {
-		if i.Key == key {
-			return true
-		}
-	}
-	return false
-}
-
 // takeFleet notes items and reports whether this instance is still announced.
 func (f *feed) takeFleet(items []Item) (announced bool) {
 	announced = true
--- a/io/node/handover.go
+++ b/io/node/handover.go
@@ -7,7 +7,6 @@
 
 	"turmericpulley/core/fleet"
 	"turmericpulley/core/pause"
-	"turmericpulley/core/policy"
 	"turmericpulley/core/types"
 	"turmericpulley/io/wire"
 )
@@ -76,11 +75,9 @@
 	primary, open := held.group.Primary()
 	here := n.settings.Self.DataCentre
 	calm := settleAfter
-	held.mu.Lock()
-	if len(held.record.Former) > 0 {
+	if len(held.current().Former) > 0 {
 		calm = settleAfterTakeover
 	}
-	held.mu.Unlock()
 	if !open || primary.DataCentre == here || primary.Leaving || n.settings.Clock.Since(held.acquired) < calm ||
 		n.settings.Clock.Since(held.moved) < calm || h.isLeaving() {
 		return
@@ -100,9 +97,7 @@
 	n := h.node
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
-	membership := fleet.Membership{Instances: n.roster.all()}
-	subject := policy.Database{Database: held.database, Members: []policy.Member{{DataCentre: dataCentre}}}
-	for _, i := range membership.Ranked(subject) {
+	for _, i := range n.roster.ranked(held.database, dataCentre) {
 		if i.ID != n.settings.Self.ID && h.name(ctx, held, i) {
 			return true
 		}
@@ -126,19 +121,13 @@
 	if !n.offer(ctx, next, held.database, false) {
 		return false
 	}
-	held.mu.Lock()
-	record := owned{held.record.HandedTo(next), held.record.revision}
-	held.mu.Unlock()
-	value, err := record.Encode()
-	if err == nil {
-		record.revision, err = n.store.Put(ctx, ownerKey(held.database), value, record.revision)
-	}
+	stored, err := held.put(ctx, held.current().handedTo(next))
 	n.logger.Info("database handed over", "database", held.database, "to", next.ID, "error", err)
 	if err != nil {
 		return true
 	}
 	n.offer(ctx, next, held.database, true)
-	n.roster.take(Item{Key: ownerKey(held.database), Value: value, Revision: record.revision})
+	n.roster.take(stored)
 	return true
 }
 
--- a/io/node/holder.go
+++ b/io/node/holder.go
@@ -66,7 +66,7 @@
 		case <-ctx.Done():
 			return
 		case <-confirm.C:
-			if h.holdsAny() || h.isDeputy() {
+			if h.holdsAny() || h.node.roster.isDeputy() {
 				h.confirm(ctx)
 			}
 		case <-look.C:
@@ -85,7 +85,7 @@
 		record, known := h.node.roster.owner(id)
 		held := h.get(id)
 		switch {
-		case held != nil && known && !record.IsOf(h.node.settings.Self) && record.revision > held.revision():
+		case held != nil && known && !record.IsOf(h.node.settings.Self) && record.revision > held.current().revision:
 			h.lose(held, record)
 		case held != nil && held.isActing():
 			if !held.authority.Valid() {
@@ -95,12 +95,7 @@
 			h.succeed(ctx, held)
 		case held != nil:
 			if known && record.IsOf(h.node.settings.Self) {
-				held.mu.Lock()
-				if record.revision > held.record.revision {
-					held.record = record
-					held.noteDeputy(h.node.settings.Clock.Now())
-				}
-				held.mu.Unlock()
+				held.take(record)
 			}
 			if !known {
 				h.restore(ctx, held)
@@ -116,10 +111,7 @@
 	}
 }
 
-// consider claims a database that has no living owner when it is this instance's turn.
-// rank returns this instance's place among those that may own the database; the present owner does not count.
-// claim writes a record that names this instance.
-// adopt starts a database whose record names this instance, as after a handover or a claim whose answer was lost.
+// prepare returns a holding of the record without any right to work yet.
 func (h *holder) prepare(database routes.Database, record owned) *holding {
 	n := h.node
 	return &holding{
@@ -136,7 +128,8 @@
 	taken.group = group.New(group.Settings{
 		Database: database.ID, Self: n.settings.Self, MaxConnections: database.MaxConnections,
 		SyncReplicas: database.SyncReplicas, Dialer: n.settings.Dialer,
-		Promoter: n.settings.Promoter, Ownership: taken, Clock: n.settings.Clock, Logger: n.logger, Requests: n.settings.Requests, Refresh: n.entries.refresh,
+		Promoter: n.settings.Promoter, Ownership: taken, Clock: n.settings.Clock,
+		Logger: n.logger, Requests: n.settings.Requests, Refresh: n.entries.refresh,
 		Witness: n.witness,
 		Yield:   func(ctx context.Context, to types.InstanceID) { h.yield(ctx, taken, to) },
 	})
--- a/io/node/holding.go
+++ b/io/node/holding.go
@@ -45,11 +45,7 @@
 func (h *holding) Authority() *hold.Authority { return h.authority }
 
 // Intended returns the last promotion that an owner recorded.
-func (h *holding) Intended() *hold.Promotion {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.record.Promotion
-}
+func (h *holding) Intended() *hold.Promotion { return h.current().Promotion }
 
 // MayPromote asks the former owners to stop, unless the time of their authority is over.
 func (h *holding) MayPromote(ctx context.Context) bool {
@@ -57,14 +53,11 @@
 		return false
 	}
 	h.mu.Lock()
-	acquired := h.acquired
+	acquired, former := h.acquired, h.record.Former
 	h.mu.Unlock()
 	if h.node.settings.Clock.Since(acquired) > hold.Duration {
 		return true
 	}
-	h.mu.Lock()
-	former := h.record.Former
-	h.mu.Unlock()
 	all := true
 	for _, f := range former {
 		all = h.fence(ctx, f) && all
@@ -103,9 +96,7 @@
 
 // Intend records a promotion; its token is the store's revision of the record.
 func (h *holding) Intend(ctx context.Context, promotion hold.Promotion) (types.Epoch, error) {
-	h.mu.Lock()
-	next := h.record
-	h.mu.Unlock()
+	next := h.current()
 	next.Promotion, next.Former, next.Deputy = &promotion, nil, nil
 	sent := h.node.settings.Clock.Now()
 	if err := h.write(ctx, next, sent); err != nil {
@@ -116,20 +107,27 @@
 
 // write replaces the record if it is still the one that is known here.
 func (h *holding) write(ctx context.Context, next owned, sent clock.Moment) error {
-	value, err := next.Encode()
+	stored, err := h.put(ctx, next)
 	if err != nil {
-		return err
+		return h.writeFailed(ctx, next, stored.Value, sent, err)
 	}
-	revision, err := h.node.store.Put(ctx, ownerKey(h.database), value, next.revision)
-	if err != nil {
-		return h.writeFailed(ctx, next, value, sent, err)
-	}
-	next.revision = revision
-	h.node.roster.take(Item{Key: ownerKey(h.database), Value: value, Revision: revision})
+	next.revision = stored.Revision
+	h.node.roster.take(stored)
 	h.confirm(next, sent)
 	return nil
 }
 
+// put replaces the record in the store and returns it as the store holds it.
+func (h *holding) put(ctx context.Context, next owned) (Item, error) {
+	stored := Item{Key: ownerKey(h.database)}
+	var err error
+	if stored.Value, err = next.Encode(); err != nil {
+		return stored, err
+	}
+	stored.Revision, err = h.node.store.Put(ctx, stored.Key, stored.Value, next.revision)
+	return stored, err
+}
+
 // writeFailed finds out whether a write whose answer says conflict has taken effect in an earlier attempt.
 func (h *holding) writeFailed(ctx context.Context, next owned, value []byte, sent clock.Moment, cause error) error {
 	if f := fault.From(cause); f == nil || f.Kind != fault.RevisionConflict {
@@ -148,21 +146,26 @@
 	return nil
 }
 
-// revision returns the store's revision of the record.
-func (h *holding) revision() types.Revision {
+// current returns the newest record that this holding knows.
+func (h *holding) current() owned {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.record.revision
+	return h.record
 }
 
-// confirm takes a record that names this instance, read or written by a call that was sent at the moment.
-func (h *holding) confirm(record owned, sent clock.Moment) {
+// take notes a record of this owner if it is newer.
+func (h *holding) take(record owned) {
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	if record.revision > h.record.revision {
 		h.record = record
 	}
 	h.noteDeputy(h.node.settings.Clock.Now())
-	h.mu.Unlock()
+}
+
+// confirm takes a record that names this instance, read or written by a call that was sent at the moment.
+func (h *holding) confirm(record owned, sent clock.Moment) {
+	h.take(record)
 	h.authority.Confirm(types.Epoch(record.revision), sent)
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"turmericpulley/core/fleet"
 	"turmericpulley/core/hold"
 	"turmericpulley/core/routes"
 	"turmericpulley/core/types"
@@ -128,3 +129,6 @@
 	hold.Record
 	revision types.Revision
 }
+
+// handedTo returns the record that replaces this one and names a new owner.
+func (o owned) handedTo(next fleet.Instance) owned { return owned{o.HandedTo(next), o.revision} }
--- a/io/node/remote.go
+++ b/io/node/remote.go
@@ -39,18 +39,11 @@
 	if w.Abandon {
 		limit = peerTimeout
 	}
-	if err := r.channel.Conn().SetDeadline(time.Now().Add(limit + answerSlack)); err != nil {
-		return stmt.Reply{}, errors.Wrap(front.ErrLost, err.Error())
-	}
-	call := &wire.Call{Kind: &wire.Call_Work{Work: encodeWork(r.database, w)}, Configuration: r.node.version()}
-	if err := r.channel.Send(call); err != nil {
-		return stmt.Reply{}, errors.Wrap(front.ErrLost, err.Error())
-	}
-	reply := &wire.CallReply{}
-	if err := r.channel.Receive(reply); err != nil {
+	call := &wire.Call{Kind: &wire.Call_Work{Work: encodeWork(r.database, w)}}
+	reply, err := r.node.exchange(time.Now().Add(limit+answerSlack), r.channel, call)
+	if err != nil {
 		return stmt.Reply{}, errors.Wrap(front.ErrLost, err.Error())
 	}
-	r.node.heard(reply.GetConfiguration())
 	answer := reply.GetWork()
 	if answer == nil {
 		return stmt.Reply{}, errors.Wrap(front.ErrLost, "the owner answered something else")
--- a/io/node/roster.go
+++ b/io/node/roster.go
@@ -8,6 +8,7 @@
 
 	"turmericpulley/core/fleet"
 	"turmericpulley/core/hold"
+	"turmericpulley/core/policy"
 	"turmericpulley/core/types"
 )
 
@@ -20,8 +21,6 @@
 	revisions map[string]types.Revision
 	owners    map[types.DatabaseID]owned
 	changed   chan struct{}
-	// configuration is the operator's newest configuration as the store held it.
-	configuration Item
 }
 
 func newRoster(self fleet.Instance) *roster {
@@ -98,6 +97,18 @@
 	return o, known
 }
 
+// isDeputy reports whether any record names this instance as the deputy.
+func (r *roster) isDeputy() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, o := range r.owners {
+		if o.HasDeputy(r.self) {
+			return true
+		}
+	}
+	return false
+}
+
 // instance returns what an instance said of itself.
 func (r *roster) instance(id types.InstanceID) (fleet.Instance, bool) {
 	r.mu.Lock()
@@ -118,6 +129,13 @@
 	return all
 }
 
+// ranked returns the known instances in the order in which they may own the database, those in the data centre only
+// when it is named and there are any.
+func (r *roster) ranked(database types.DatabaseID, dataCentre types.DataCentre) []fleet.Instance {
+	membership := fleet.Membership{Instances: r.all()}
+	return membership.Ranked(policy.Database{Database: database, Members: []policy.Member{{DataCentre: dataCentre}}})
+}
+
 // watch returns a channel that is closed at the next change.
 func (r *roster) watch() <-chan struct{} {
 	r.mu.Lock()
--- a/io/peers/docwatch.go
+++ b/io/peers/docwatch.go
@@ -62,7 +62,7 @@
 // follow lists changes after the revision for as long as the instance is a watcher; the first listing does not wait, so
 // that it confirms at once.
 func (d *docwatch) follow(ctx context.Context, after types.Revision) {
-	retries := backoff{least: leastStorePause, most: mostWatchPause}
+	retries := newBackoff(leastStorePause, mostWatchPause)
 	wait := time.Duration(0)
 	for ctx.Err() == nil && d.node.isStoreWatcher() {
 		sent := time.Now()
@@ -71,7 +71,7 @@
 			pause.For(ctx, retries.pause())
 			continue
 		}
-		retries.reset()
+		retries.Reset()
 		d.take(page)
 		after = max(after, page.Revision)
 		d.node.records.confirmed(d.prefix, relay.ConfirmedAt(sent, time.Now(), wait, len(page.Entries)))
--- a/io/peers/flush.go
+++ b/io/peers/flush.go
@@ -28,7 +28,7 @@
 		p.resume = time.Now().Add(p.pause.pause())
 		return
 	}
-	p.pause.reset()
+	p.pause.Reset()
 	p.settle(now)
 }
 
--- a/io/peers/joiner.go
+++ b/io/peers/joiner.go
@@ -42,7 +42,7 @@
 
 func newJoiner(n *node, p *proposer) *joiner {
 	ctx, cancel := context.WithCancel(context.Background())
-	j := &joiner{node: n, proposer: p, cancel: cancel, pause: backoff{least: leastJoinPause, most: mostJoinPause}}
+	j := &joiner{node: n, proposer: p, cancel: cancel, pause: newBackoff(leastJoinPause, mostJoinPause)}
 	changes := n.changes.subscribe()
 	j.running.Go(func() {
 		j.learn(ctx)
@@ -111,7 +111,7 @@
 		j.wasMember, j.attempts, j.joined = true, 0, time.Now()
 	}
 	if time.Since(j.joined) > stableAfter {
-		j.pause.reset()
+		j.pause.Reset()
 	}
 }
 
@@ -180,7 +180,7 @@
 		Instance: string(self.ID), Incarnation: uint64(self.Incarnation), Finished: finished,
 	}}}
 	change := leaveChange(self.ID, self.Incarnation, finished)
-	retries := backoff{least: leastStorePause, most: mostStorePause}
+	retries := newBackoff(leastStorePause, mostStorePause)
 	for attempts := 0; ; attempts++ {
 		err := j.proposer.ask(ctx, change, request)
 		if err != nil && attempts >= attemptsByPeers {
--- a/io/peers/proposer.go
+++ b/io/peers/proposer.go
@@ -53,7 +53,7 @@
 		cancel:  cancel,
 		reports: fleet.NewReports(),
 		probing: make(map[fleet.Subject]bool),
-		pause:   backoff{least: leastStorePause, most: mostStorePause},
+		pause:   newBackoff(leastStorePause, mostStorePause),
 	}
 	p.watches = newWatches(n, p.tell)
 	p.running.Go(func() {
