fix: a statement that could not be sent to a closed owner is reported as not run

Cause: the owner's end of the stream was closed before the caller's relay had noticed; the next statement was sent into the closed pipe (io.ErrClosedPipe: surely not delivered) and reported as outcome unknown. The exchange now notes whether a part of the batch may have reached the owner, and whoever notices the loss waits for a sending in progress before it decides. Ruled out: an owner that received the COMMIT (a frame is decoded whole or not at all, and the pipe holds none after its end).

--- a/io/pgsrv/exchange.go
+++ b/io/pgsrv/exchange.go
@@ -1,9 +1,12 @@
 package pgsrv
 
 import (
+	"io"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"turmericpulley/core/fault"
 	"turmericpulley/core/types"
 	"turmericpulley/io/wire"
@@ -29,6 +32,7 @@
 	mutex     sync.Mutex
 	state     exchangeState
 	current   *answer // of the batch in flight
+	sent      bool    // a part of the batch in flight may have reached the owner
 	status    byte    // last status that the target reported
 	fault     *fault.Fault
 	outcome   *wire.Outcome
@@ -63,8 +67,7 @@
 		return f
 	}
 	if err := x.transmitAll(pieces(p.payload, submitBytes), p.end); err != nil {
-		x.fail(fault.New(fault.OutcomeUnknown, "sending to the owner failed: "+err.Error()))
-		x.closeStream()
+		x.lose("sending to the owner failed: " + err.Error())
 	}
 	return nil
 }
@@ -82,7 +85,9 @@
 	if x.state == exchangeOver {
 		return nil, false
 	}
-	x.current = a
+	if x.current != a {
+		x.current, x.sent = a, false
+	}
 	a.parses = append(a.parses, p.parses...)
 	a.text = p.text
 	a.synced = p.end
@@ -106,7 +111,14 @@
 	if err := x.stream.SetDeadline(time.Now().Add(x.timeout)); err != nil {
 		return err
 	}
-	return x.stream.Send(frame)
+	err := x.stream.Send(frame)
+	if errors.Is(err, io.ErrClosedPipe) {
+		return err
+	}
+	x.mutex.Lock()
+	x.sent = true
+	x.mutex.Unlock()
+	return err
 }
 
 // cancel asks the owner to cancel the running statement and reports whether there is one.
--- a/io/pgsrv/failure_test.go
+++ b/io/pgsrv/failure_test.go
@@ -123,7 +123,16 @@
 }
 
 func TestBlockLostBetweenStatementsIsNotRun(t *testing.T) {
+	for _, endDelay := range []time.Duration{0, 100 * time.Millisecond} {
+		t.Run("end seen after "+endDelay.String(), func(t *testing.T) { testBlockLostBetweenStatements(t, endDelay) })
+	}
+}
+
+// testBlockLostBetweenStatements ends a transaction between two statements; with a delay the relay sees the end of the
+// stream only after the next statement could not be sent.
+func testBlockLostBetweenStatements(t *testing.T, endDelay time.Duration) {
 	b := newBench(t)
+	b.set(func(b *bench) { b.endDelay = endDelay })
 	conn := b.connect("")
 	_, err := conn.Exec(b.context(), "BEGIN; LEAVE")
 	require.NoError(t, err)
--- a/io/pgsrv/harness_test.go
+++ b/io/pgsrv/harness_test.go
@@ -38,7 +38,9 @@
 	stale   error // of Fresh
 	groups  []types.GroupID
 	timeout policy.Duration
-	seen    []pgsrv.Transaction
+	// endDelay is that of the callers' ends of streams.
+	endDelay time.Duration
+	seen     []pgsrv.Transaction
 }
 
 func newBench(tb testing.TB, change ...func(*pgsrv.Settings)) *bench {
@@ -88,7 +90,7 @@
 		defer b.owners.Done()
 		o.run()
 	}()
-	return &pipeStream{Conn: near}, nil
+	return &pipeStream{Conn: near, endDelay: b.endDelay}, nil
 }
 
 func (b *bench) Fresh() error {
--- a/io/pgsrv/relay.go
+++ b/io/pgsrv/relay.go
@@ -133,11 +133,15 @@
 	x.caller.answered()
 }
 
-// lose ends a transaction whose owner can no longer be heard.
+// lose ends a transaction whose owner can no longer be heard. It waits for a sending in progress, which ends at once on
+// the closed stream, to know whether anything of the batch in flight can have reached the owner.
 func (x *exchange) lose(detail string) {
+	x.closeStream()
+	x.sending.Lock()
 	x.mutex.Lock()
-	waiting := x.current != nil
+	waiting := x.current != nil && x.sent
 	x.mutex.Unlock()
+	x.sending.Unlock()
 	if waiting {
 		x.fail(fault.New(fault.OutcomeUnknown, detail))
 		return
--- a/io/pgsrv/stream.go
+++ b/io/pgsrv/stream.go
@@ -8,7 +8,7 @@
 
 // Stream carries the frames of one transaction; Send and Receive may be called from two goroutines at once.
 type Stream interface {
-	// Send sends a frame; the stream may keep it.
+	// Send sends a frame; the stream may keep it. io.ErrClosedPipe means that the owner surely did not receive it.
 	Send(*wire.Frame) error
 	// Receive returns the next frame of the owner.
 	Receive() (*wire.Frame, error)
--- a/io/pgsrv/stream_test.go
+++ b/io/pgsrv/stream_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -15,6 +16,8 @@
 type pipeStream struct {
 	net.Conn
 	mutex sync.Mutex
+	// endDelay passes before Receive reports the end of the stream, as when its goroutine is not scheduled.
+	endDelay time.Duration
 }
 
 func (p *pipeStream) Send(frame *wire.Frame) error {
@@ -31,6 +34,7 @@
 func (p *pipeStream) Receive() (*wire.Frame, error) {
 	var header [4]byte
 	if _, err := io.ReadFull(p, header[:]); err != nil {
+		time.Sleep(p.endDelay)
 		return nil, err
 	}
 	data := make([]byte, binary.BigEndian.Uint32(header[:]))
