--- a/io/admin/apply_test.go
+++ b/io/admin/apply_test.go
@@ -178,22 +178,31 @@
 	return server.URL
 }
 
+// overtakerTimeout is far beyond the few milliseconds of a change, so that a busy machine cannot make one fail unseen.
+const overtakerTimeout = 30 * time.Second
+
 func TestChangesOvertakenAfterALostAnswerAreRecognised(t *testing.T) {
 	t.Parallel()
 	for overtakers, want := range map[int]admin.Outcome{1: admin.Accepted, 20: admin.Accepted, 21: admin.Unknown} {
 		t.Run(fmt.Sprint(overtakers), func(t *testing.T) {
 			platform := newPlatform(t)
-			other := newOperator(t, platform.URL(), "other", testTimeout)
+			other := newOperator(t, platform.URL(), "other", overtakerTimeout)
 			other.Apply(context.Background(), contractOf(1), admin.Base{})
+			followers := make(chan admin.Result, 2*overtakers)
 			path := between(t, platform.URL(), func(_ http.ResponseWriter, forward func()) {
 				// The write takes effect, others follow it, and its answer is lost.
 				forward()
 				for i := range overtakers {
-					other.Apply(context.Background(), contractOf(i+2), admin.Base{})
+					followers <- other.Apply(context.Background(), contractOf(i+2), admin.Base{})
 				}
 				panic(http.ErrAbortHandler)
 			})
-			result := newOperator(t, path, "o", 6*time.Second).Apply(context.Background(), contractOf(99), admin.Base{})
+			result := newOperator(t, path, "o", 2*overtakerTimeout).Apply(context.Background(), contractOf(99), admin.Base{})
+			require.Len(t, followers, overtakers, "the lost write was sent once")
+			for range overtakers {
+				f := <-followers
+				require.Equal(t, admin.Accepted, f.Outcome, f.Detail)
+			}
 			require.Equal(t, want, result.Outcome, result.Detail)
 			present, _, err := other.Contract(context.Background(), "sencnik")
 			require.NoError(t, err)
