perf: two instances of a large data centre follow the store for the others

In a data centre of ten or more, two instances chosen by rendezvous hashing now watch for the others, which ask one of them with a question that waits for a change. core/cover holds the evidence of how current a copy is, by the clock that counts suspensions; after 2 s without evidence an instance asks the store itself, so that a reader that stops, freezes or is cut costs at most that. Small data centres work as before.

--- a/core/fleet/membership_test.go
+++ b/core/fleet/membership_test.go
@@ -151,3 +151,27 @@
 		require.Len(t, reached, len(members.Instances))
 	})
 }
+
+func TestReadersOfADataCentreStayWhileOthersComeAndGo(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(1, 60).Draw(t, "size")
+		before := membersOf(size)
+		readers := before.Readers("dc-1")
+		if len(before.LiveIn("dc-1")) < 10 {
+			require.Empty(t, readers, "each follows the store itself")
+			return
+		}
+		require.Len(t, readers, 2)
+		gone := before.Instances[rapid.IntRange(0, size-1).Draw(t, "gone")]
+		after, _ := before.With([]fleet.Change{fleet.Remove{ID: gone.ID, Incarnation: 1}})
+		if len(after.LiveIn("dc-1")) < 10 {
+			return
+		}
+		for _, r := range readers {
+			require.Equal(t, types.DataCentre("dc-1"), r.DataCentre)
+			if r.ID != gone.ID {
+				require.Contains(t, after.Readers("dc-1"), r)
+			}
+		}
+	})
+}
--- a/io/node/calls.go
+++ b/io/node/calls.go
@@ -56,6 +56,9 @@
 	}
 	n.running.Go(func() {
 		defer n.fetching.Store(false)
+		if n.feed.comes(n.ctx, version) {
+			return
+		}
 		if i, found, err := n.store.Get(n.ctx, n.settings.Formats.Configuration); err == nil && found {
 			n.feed.takeConfiguration(i)
 			return
@@ -183,6 +186,8 @@
 	case *wire.Call_Arm:
 		n.holder.armed(kind.Arm)
 		return &wire.CallReply{Kind: &wire.CallReply_Armed{Armed: &wire.Armed{}}}
+	case *wire.Call_Follow:
+		return &wire.CallReply{Kind: &wire.CallReply_Followed{Followed: n.feed.followed(kind.Follow, call.GetConfiguration())}}
 	case *wire.Call_ConfigurationQuery:
 		newest := &wire.Configuration{}
 		if i := n.feed.newest.Load(); i != nil {
--- a/io/node/feed.go
+++ b/io/node/feed.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"turmericpulley/core/cover"
 	"turmericpulley/core/fault"
 	"turmericpulley/core/pause"
 	"turmericpulley/core/types"
@@ -36,8 +37,16 @@
 	node *Node
 	// newest is the operator's newest configuration as the store held it; nil before the first.
 	newest atomic.Pointer[Item]
+	// evidence tells how current the configuration is.
+	evidence *cover.Evidence
+	// complete is the revision of the store up to which all instances and owners are known; zero when that is not known.
+	complete atomic.Uint64
+	// announced tells that the store holds this instance's entry.
+	announced atomic.Bool
 }
 
+func newFeed(n *Node) *feed { return &feed{node: n, evidence: cover.New(n.settings.Clock)} }
+
 // newFailures returns the pauses after failures in a row.
 func newFailures() *pause.Backoff { return &pause.Backoff{Least: retryPause, Most: maxRetryPause} }
 
@@ -48,11 +57,16 @@
 	available := true
 	failures := newFailures()
 	for ctx.Err() == nil {
+		if f.rest(ctx, cover.Limit) {
+			after = 0
+			continue
+		}
 		if after == 0 {
 			after = f.readConfiguration(ctx, &available, failures)
 			continue
 		}
-		items, next, err := n.store.Watch(ctx, n.settings.Formats.ConfigurationPrefix, after, configurationWait)
+		sent, wait := n.settings.Clock.Now(), f.watchWait()
+		items, next, err := n.store.Watch(ctx, n.settings.Formats.ConfigurationPrefix, after, wait)
 		if err != nil {
 			after = 0
 			pause.For(ctx, failures.Next())
@@ -62,6 +76,7 @@
 		for _, i := range items {
 			f.takeConfiguration(i)
 		}
+		f.evidence.Watched(sent, wait, len(items))
 		after = next
 		if len(items) > 0 && !pause.For(ctx, batchPause) {
 			return
@@ -72,12 +87,14 @@
 // readConfiguration reads the whole configuration, from another instance when the store does not answer.
 func (f *feed) readConfiguration(ctx context.Context, available *bool, failures *pause.Backoff) types.Revision {
 	n := f.node
+	sent := n.settings.Clock.Now()
 	items, revision, err := n.store.Range(ctx, n.settings.Formats.ConfigurationPrefix)
 	if err == nil {
 		f.tellStore(available, true, "")
 		for _, i := range items {
 			f.takeConfiguration(i)
 		}
+		f.evidence.Read(sent)
 		if len(items) == 0 {
 			pause.For(ctx, failures.Next())
 		}
@@ -148,37 +165,29 @@
 // followFleet keeps instances and owners current and this instance announced.
 func (f *feed) followFleet(ctx context.Context) {
 	n := f.node
-	var after types.Revision
-	announced := false
 	failures := newFailures()
 	for ctx.Err() == nil {
-		if !announced {
-			announced = f.announce(ctx)
+		if !f.announced.Load() {
+			f.announced.Store(f.announce(ctx))
 		}
+		after := types.Revision(f.complete.Load())
 		if after == 0 {
-			items, revision, err := n.store.Range(ctx, fleetPrefix)
-			if err != nil {
-				pause.For(ctx, failures.Next())
-				continue
-			}
-			after = revision
-			announced = f.takeFleet(items) && announced
-			n.roster.retain(fleetPrefix, items, revision)
-			own := instanceKey(n.settings.Self.ID)
-			announced = announced && slices.ContainsFunc(items, func(i Item) bool { return i.Key == own })
+			f.readFleet(ctx, failures)
+			continue
+		}
+		if f.announced.Load() && f.rest(ctx, joinPause) {
 			continue
 		}
 		items, next, err := n.store.Watch(ctx, fleetPrefix, after, fleetWait)
 		if err != nil {
-			after = 0
+			f.complete.Store(0)
 			pause.For(ctx, failures.Next())
 			continue
 		}
 		failures.Reset()
-		announced = f.takeFleet(items) && announced
-		after = next
+		f.takeFleet(items, next)
 		switch {
-		case slices.ContainsFunc(items, func(i Item) bool { return strings.HasPrefix(i.Key, ownersPrefix) }):
+		case slices.ContainsFunc(items, isOwner):
 			pause.For(ctx, ownerPause)
 		case len(items) > 0:
 			pause.For(ctx, joinPause)
@@ -186,15 +195,34 @@
 	}
 }
 
-// takeFleet notes items and reports whether this instance is still announced.
-func (f *feed) takeFleet(items []Item) (announced bool) {
-	announced = true
+// readFleet reads all instances and owners.
+func (f *feed) readFleet(ctx context.Context, failures *pause.Backoff) {
+	n := f.node
+	items, revision, err := n.store.Range(ctx, fleetPrefix)
+	if err != nil {
+		pause.For(ctx, failures.Next())
+		return
+	}
+	f.takeFleet(items, revision)
+	n.roster.retain(fleetPrefix, items, revision)
+	own := instanceKey(n.settings.Self.ID)
+	if !slices.ContainsFunc(items, func(i Item) bool { return i.Key == own }) {
+		f.announced.Store(false)
+	}
+}
+
+func isOwner(i Item) bool { return strings.HasPrefix(i.Key, ownersPrefix) }
+
+// takeFleet notes items that are complete up to the revision, and whether this instance's entry is gone.
+func (f *feed) takeFleet(items []Item, revision types.Revision) {
 	for _, i := range items {
 		if f.node.roster.take(i) {
-			announced = false
+			f.announced.Store(false)
 		}
 	}
-	return announced
+	for known := f.complete.Load(); uint64(revision) > known && !f.complete.CompareAndSwap(known, uint64(revision)); {
+		known = f.complete.Load()
+	}
 }
 
 // announce writes where this instance can be reached.
--- /dev/null
+++ b/io/node/follow_test.go
@@ -0,0 +1,130 @@
+package node_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"turmericpulley/core/fleet"
+	"turmericpulley/io/fakepl"
+)
+
+// newDataCentre starts instances of one data centre, and waits until the store has all of them.
+func newDataCentre(t *testing.T, site *fakepl.Site, count int) []*running {
+	t.Helper()
+	instances := make([]*running, 0, count)
+	for i := range count {
+		instances = append(instances, start(t, site, fmt.Sprintf("frontend-%d", i)))
+	}
+	t.Cleanup(func() {
+		var stopping sync.WaitGroup
+		for _, i := range instances {
+			stopping.Go(i.stop)
+		}
+		stopping.Wait()
+	})
+	for _, i := range instances {
+		await(t, i.callers)
+	}
+	time.Sleep(settled)
+	return instances
+}
+
+const (
+	// settled is how long after the start instances have found their readers.
+	settled = 3 * time.Second
+	// inForce is the time in which a change of the configuration must be in force.
+	inForce = 3 * time.Second
+)
+
+// opens reports whether the instance opens a session for the name.
+func opens(i *running, name string) bool {
+	c, err := fakepl.Dial(i.callers, name)
+	if err != nil {
+		return false
+	}
+	c.Close()
+	return true
+}
+
+func TestADataCentreOfManyInstancesAsksTheStoreLittle(t *testing.T) {
+	site, err := fakepl.NewSite(0)
+	require.NoError(t, err)
+	defer site.Close()
+	site.Configure(1, 1000)
+	newDataCentre(t, site, 20)
+	before := site.Store.Calls()
+	const span = 3 * time.Second
+	time.Sleep(span)
+	calls := float64(site.Store.Calls()-before) / span.Seconds()
+	// Two readers make 1.4 watches a second each, the owner 1.7 readings and its deputy 0.7. Without readers the watches of 20
+	// instances alone are 8 a second.
+	require.Less(t, calls, 7.0)
+	t.Logf("%.1f calls a second", calls)
+}
+
+func TestAChangeReachesFollowersWhateverBecomesOfTheirReaders(t *testing.T) {
+	for name, harm := range map[string]func(readers, all []*running){
+		"nothing":                        func(_, _ []*running) {},
+		"a reader stops":                 func(readers, _ []*running) { readers[0].stop() },
+		"a reader is cut from the store": func(readers, _ []*running) { readers[0].away.Store(true) },
+		"both are cut from the store":    func(readers, _ []*running) { readers[0].away.Store(true); readers[1].away.Store(true) },
+		"all but one follower are cut":   func(_, all []*running) { cutAllBut(all, 1) },
+		"all are cut and reach it again": func(_, all []*running) { cutAllBut(all, 0); time.AfterFunc(time.Second, func() { joinAll(all) }) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			site, err := fakepl.NewSite(0)
+			require.NoError(t, err)
+			defer site.Close()
+			site.Configure(1, 1000)
+			all := newDataCentre(t, site, 11)
+			readers := readersOf(all)
+			harm(readers, all)
+			site.Configure(2, 1000, "late")
+			bound := inForce
+			if name == "all are cut and reach it again" {
+				bound += time.Second
+			}
+			changed := time.Now()
+			for _, i := range all {
+				if i.stopped || i.away.Load() {
+					continue
+				}
+				require.Eventually(t, func() bool { return opens(i, "late") }, time.Until(changed.Add(bound)), 10*time.Millisecond,
+					"%s after %s", i.callers, time.Since(changed))
+			}
+		})
+	}
+}
+
+// readersOf returns the two instances that follow the store for the others.
+func readersOf(all []*running) []*running {
+	var members fleet.Membership
+	for _, i := range all {
+		members, _ = members.With([]fleet.Change{fleet.Join{Instance: fleet.Instance{ID: i.id, DataCentre: "z1", Incarnation: 1, State: fleet.Live}}})
+	}
+	var readers []*running
+	for _, r := range members.Readers("z1") {
+		for _, i := range all {
+			if i.id == r.ID {
+				readers = append(readers, i)
+			}
+		}
+	}
+	return readers
+}
+
+func cutAllBut(all []*running, spared int) {
+	for _, i := range all[:len(all)-spared] {
+		i.away.Store(true)
+	}
+}
+
+func joinAll(all []*running) {
+	for _, i := range all {
+		i.away.Store(false)
+	}
+}
--- a/io/node/handover_test.go
+++ b/io/node/handover_test.go
@@ -76,6 +76,7 @@
 // running is one instance inside the test.
 type running struct {
 	*node.Node
+	id      types.InstanceID
 	callers string
 	away    atomic.Bool
 	stopped bool
@@ -100,21 +101,20 @@
 
 func start(t *testing.T, site *fakepl.Site, name string) *running {
 	t.Helper()
-	r := &running{}
+	r := &running{id: types.InstanceID(name)}
 	callers, peers, ready := listen(t), listen(t), listen(t)
 	r.callers = callers.Addr().String()
 	direct := platform.NewDirectCaller(site.Address())
-	id := types.InstanceID(name)
 	r.Node = node.New(node.Settings{
 		Self: fleet.Instance{
-			ID: id, PeerAddress: peers.Addr().String(), DataCentre: "z1", State: fleet.Live,
+			ID: r.id, PeerAddress: peers.Addr().String(), DataCentre: "z1", State: fleet.Live,
 			Incarnation: fleet.Incarnation(time.Now().UnixNano()),
 		},
 		Callers: callers, Peers: peers, HTTP: ready,
 		Wrap:    func(c net.Conn) front.Caller { return platform.NewCallerConn(c) },
 		Store:   func(relay node.Relay) node.Store { return cutStore{platform.NewStore(direct, nil), &r.away} },
-		Formats: platform.Formats(), Dialer: platform.MemberDialer{Instance: id},
-		Promoter: platform.Promoter{Address: site.Address(), Instance: id}, Clock: clock.Boot(), Logger: hclog.NewNullLogger(), Requests: hclog.NewNullLogger(),
+		Formats: platform.Formats(), Dialer: platform.MemberDialer{Instance: r.id},
+		Promoter: platform.Promoter{Address: site.Address(), Instance: r.id}, Clock: clock.Boot(), Logger: hclog.NewNullLogger(), Requests: hclog.NewNullLogger(),
 		Grace: grace, MaxConnections: 100,
 	})
 	t.Cleanup(func() { r.stop(); direct.Close() })
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -50,7 +50,7 @@
 	n.entries = newEntries(n)
 	n.silent = newSilent()
 	n.holder = newHolder(n)
-	n.feed = &feed{node: n}
+	n.feed = newFeed(n)
 	n.transport = peers.NewTransport(s.Peers, n.serve)
 	n.callers = front.New(front.Settings{
 		Listener: s.Callers, Wrap: s.Wrap, Routes: n.routes, Router: &router{node: n}, Logger: s.Requests,
@@ -60,6 +60,7 @@
 	n.serveMetrics()
 	n.running.Go(func() { n.feed.followConfiguration(ctx) })
 	n.running.Go(func() { n.feed.followFleet(ctx) })
+	n.running.Go(func() { n.feed.followReaders(ctx) })
 	n.running.Go(func() { n.entries.run(ctx) })
 	n.running.Go(func() { n.holder.run(ctx) })
 	n.logger.Info("instance started", "incarnation", uint64(s.Self.Incarnation), "callers", s.Callers.Addr().String())
--- a/io/node/roster.go
+++ b/io/node/roster.go
@@ -12,20 +12,27 @@
 	"turmericpulley/core/types"
 )
 
+// recentChanges is the number of changes that followers are told from a list; who is farther behind gets all that is new.
+const recentChanges = 256
+
 // roster holds what the store said of instances and owners; it is safe for concurrent use.
 type roster struct {
 	self fleet.Instance
 
 	mu        sync.Mutex
 	instances map[types.InstanceID]fleet.Instance
-	revisions map[string]types.Revision
-	owners    map[types.DatabaseID]owned
-	changed   chan struct{}
+	// items are the newest values by key; deleted ones stay, so that others hear of them.
+	items map[string]Item
+	// recent are the latest changes, and dropped is the newest revision that is not among them any more.
+	recent  []Item
+	dropped types.Revision
+	owners  map[types.DatabaseID]owned
+	changed chan struct{}
 }
 
 func newRoster(self fleet.Instance) *roster {
 	return &roster{
-		self: self, instances: map[types.InstanceID]fleet.Instance{self.ID: self}, revisions: map[string]types.Revision{},
+		self: self, instances: map[types.InstanceID]fleet.Instance{self.ID: self}, items: map[string]Item{},
 		owners: map[types.DatabaseID]owned{}, changed: make(chan struct{}),
 	}
 }
@@ -34,10 +41,11 @@
 func (r *roster) take(i Item) (ownMissing bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if i.Revision <= r.revisions[i.Key] {
+	if i.Revision <= r.items[i.Key].Revision {
 		return false
 	}
-	r.revisions[i.Key] = i.Revision
+	r.items[i.Key] = i
+	r.remember(i)
 	defer r.signal()
 	if id, found := strings.CutPrefix(i.Key, instancesPrefix); found {
 		return r.takeInstance(types.InstanceID(id), i)
@@ -78,8 +86,8 @@
 	}
 	r.mu.Lock()
 	var gone []string
-	for key, known := range r.revisions {
-		if strings.HasPrefix(key, prefix) && !keys[key] && known <= revision {
+	for key, known := range r.items {
+		if strings.HasPrefix(key, prefix) && !keys[key] && !known.Deleted && known.Revision <= revision {
 			gone = append(gone, key)
 		}
 	}
@@ -89,6 +97,39 @@
 	}
 }
 
+// remember notes a change among the latest ones; the caller holds the lock.
+func (r *roster) remember(i Item) {
+	r.recent = append(r.recent, i)
+	if len(r.recent) <= recentChanges {
+		return
+	}
+	for _, old := range r.recent[:recentChanges/2] {
+		r.dropped = max(r.dropped, old.Revision)
+	}
+	r.recent = slices.Delete(r.recent, 0, recentChanges/2)
+}
+
+// since returns the items that changed after the revision; an item that changed twice may come twice, in order.
+func (r *roster) since(revision types.Revision) []Item {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var changed []Item
+	if revision >= r.dropped {
+		for _, i := range r.recent {
+			if i.Revision > revision {
+				changed = append(changed, i)
+			}
+		}
+		return changed
+	}
+	for _, i := range r.items {
+		if i.Revision > revision {
+			changed = append(changed, i)
+		}
+	}
+	return changed
+}
+
 // owner returns the record of a database.
 func (r *roster) owner(database types.DatabaseID) (owned, bool) {
 	r.mu.Lock()
@@ -136,6 +177,11 @@
 	return membership.Ranked(policy.Database{Database: database, Members: []policy.Member{{DataCentre: dataCentre}}})
 }
 
+// readers returns the instances that follow the store for this one's data centre.
+func (r *roster) readers() []fleet.Instance {
+	return fleet.Membership{Instances: r.all()}.Readers(r.self.DataCentre)
+}
+
 // watch returns a channel that is closed at the next change.
 func (r *roster) watch() <-chan struct{} {
 	r.mu.Lock()
