test: a soak of random faults against separate processes

The stand-in's replaced primaries now follow the new one after a second, as the platform's pages say.

--- a/io/fakepl/group.go
+++ b/io/fakepl/group.go
@@ -17,9 +17,11 @@
 // Group is a database with its members; the members share one lock.
 type Group struct {
 	Name string
-	// Lag is how late replicas apply, PromoteDelay how long a promotion takes.
+	// Lag is how late replicas apply, PromoteDelay how long a promotion takes, and DemoteDelay after which an earlier primary
+	// follows the new one without being told.
 	Lag          time.Duration
 	PromoteDelay time.Duration
+	DemoteDelay  time.Duration
 
 	store   *Store
 	mu      sync.Mutex
@@ -31,7 +33,7 @@
 
 // NewGroup starts a database with members on loopback, the first one as primary, and writes their entries.
 func NewGroup(store *Store, name string, lag time.Duration, ids ...string) (*Group, error) {
-	g := &Group{Name: name, Lag: lag, PromoteDelay: 50 * time.Millisecond, store: store, term: 1, runs: map[string]int{}}
+	g := &Group{Name: name, Lag: lag, PromoteDelay: 50 * time.Millisecond, DemoteDelay: time.Second, store: store, term: 1, runs: map[string]int{}}
 	for i, id := range ids {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -103,10 +105,33 @@
 		}
 		g.mu.Unlock()
 		m.announce("ready")
+		time.AfterFunc(g.DemoteDelay, g.demote)
 	})
 	return 200
 }
 
+// demote makes every running primary of an earlier term a replica of the newest, as the platform's members do when they
+// reach it.
+func (g *Group) demote() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.members {
+		if m.primary && m.term < g.term && !m.isDown() {
+			g.follow(m)
+		}
+	}
+}
+
+// follow makes the member a replica with the log of the newest primary; the caller holds the group's lock.
+func (g *Group) follow(m *Member) {
+	m.primary, m.term = false, g.term
+	for _, o := range g.members {
+		if o.primary && o.term == g.term {
+			m.log = append([]commit(nil), o.log...)
+		}
+	}
+}
+
 // Close ends all members.
 func (g *Group) Close() {
 	for _, m := range g.members {
@@ -147,3 +172,6 @@
 
 // Drain announces that the member is about to leave.
 func (m *Member) Drain() { m.announce("draining") }
+
+// Stay announces that the member takes work again.
+func (m *Member) Stay() { m.announce("ready") }
--- a/io/fakepl/member.go
+++ b/io/fakepl/member.go
@@ -69,7 +69,7 @@
 	}
 	m.group.mu.Lock()
 	if m.term < m.group.term {
-		m.primary = false
+		m.group.follow(m)
 	}
 	m.group.mu.Unlock()
 	m.listen(listener)
--- a/io/fakepl/session.go
+++ b/io/fakepl/session.go
@@ -235,7 +235,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if term, err := strconv.ParseUint(rest, 10, 64); verb == "STEPDOWN" && err == nil && term > m.term {
-		m.primary, m.term = false, g.term
+		g.follow(m)
 	}
 	role := "replica"
 	if m.primary {
--- /dev/null
+++ b/io/soak/main_test.go
@@ -0,0 +1,24 @@
+package soak_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"turmericpulley/io/check"
+)
+
+var (
+	firstSeed = flag.Uint64("soak.first", 1, "first seed; 0 takes one from the time")
+	seedCount = flag.Int("soak.seeds", 2, "number of seeds")
+	span      = flag.Duration("soak.span", 8*time.Second, "time in which faults begin, for each seed")
+	instances = flag.Int("soak.instances", 4, "number of instances")
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	code := m.Run()
+	check.Remove()
+	os.Exit(code)
+}
--- /dev/null
+++ b/io/soak/register_test.go
@@ -0,0 +1,48 @@
+package soak_test
+
+import (
+	"sync"
+	"time"
+)
+
+// register is an item that one caller writes with increasing numbers.
+type register struct {
+	item string
+
+	mu        sync.Mutex
+	attempted int
+	commits   []commit
+}
+
+// commit is an acknowledged number and when its acknowledgement arrived.
+type commit struct {
+	number int
+	at     time.Time
+}
+
+// next returns the next number to write.
+func (r *register) next() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.attempted++
+	return r.attempted
+}
+
+// acknowledge notes that the number was committed.
+func (r *register) acknowledge(number int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.commits = append(r.commits, commit{number, time.Now()})
+}
+
+// acknowledgedBy returns the newest number that was acknowledged before the moment.
+func (r *register) acknowledgedBy(moment time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for n := len(r.commits) - 1; n >= 0; n-- {
+		if r.commits[n].at.Before(moment) {
+			return r.commits[n].number
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/io/soak/soak_test.go
@@ -0,0 +1,59 @@
+package soak_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// regressions are the seeds that failed once, each with its cause.
+var regressions = []struct {
+	seed  uint64
+	calm  bool
+	cause string
+}{}
+
+// TestPromisesHoldUnderRandomFaults plays the seeds that failed once and as many more as the flags say.
+func TestPromisesHoldUnderRandomFaults(t *testing.T) {
+	for _, r := range regressions {
+		t.Run(fmt.Sprintf("%s %d", r.cause, r.seed), func(t *testing.T) { play(t, r.seed, r.calm) })
+	}
+	first := *firstSeed
+	if first == 0 {
+		first = uint64(time.Now().UnixNano())
+	}
+	for i := range uint64(*seedCount) {
+		t.Run(fmt.Sprintf("seed %d", first+i), func(t *testing.T) { play(t, first+i, false) })
+	}
+}
+
+// TestPlannedWorkCutsNothing plays stops, changes of the configuration and members that leave, in series that overlap.
+func TestPlannedWorkCutsNothing(t *testing.T) {
+	first := *firstSeed
+	if first == 0 {
+		first = uint64(time.Now().UnixNano())
+	}
+	for i := range uint64(*seedCount) {
+		t.Run(fmt.Sprintf("seed %d", first+i), func(t *testing.T) { play(t, first+i, true) })
+	}
+}
+
+// recovered is the time after the end of the faults in which every instance must serve again.
+const recovered = 12 * time.Second
+
+// inForce is the time in which a change of the configuration must be in force.
+const inForce = 3 * time.Second
+
+// play runs callers while the faults of the seed happen, and checks what they saw.
+func play(t *testing.T, seed uint64, calm bool) {
+	w := newWorld(t, *instances)
+	p := newPlan(seed, calm)
+	t.Logf("seed %d: %s", seed, p)
+	c := newCallers(w, seed)
+	p.play(w, *span)
+	w.heal()
+	w.awaitRecovery(recovered)
+	c.stop()
+	c.check(calm)
+	w.check()
+}
--- /dev/null
+++ b/io/soak/world_test.go
@@ -0,0 +1,188 @@
+package soak_test
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"turmericpulley/io/check"
+	"turmericpulley/io/fakepl"
+)
+
+const (
+	// replicaLag is how late replicas apply; it is far below the age that bounded routes allow.
+	replicaLag = 200 * time.Millisecond
+	// grace is the time from the signal to stop until the process would be killed, in seconds.
+	grace = 4
+	// ownerKey is where the store holds the owner of the database.
+	ownerKey = "turmericpulley/owners/db1"
+)
+
+// instance is one process with the links on its ways.
+type instance struct {
+	name    string
+	process *check.Process
+	// callers and store are the ways from its callers and to the platform.
+	callers *check.Link
+	store   *check.Link
+	// engaged is held while a fault works at the process.
+	engaged sync.Mutex
+}
+
+// world is a platform with instances as separate processes.
+type world struct {
+	t         *testing.T
+	site      *fakepl.Site
+	instances []*instance
+	started   time.Time
+	// member is held while a fault works at a member: at most one of three is harmed.
+	member sync.Mutex
+
+	mu      sync.Mutex
+	version int
+}
+
+func newWorld(t *testing.T, count int) *world {
+	t.Helper()
+	site, err := fakepl.NewSite(replicaLag)
+	require.NoError(t, err)
+	t.Cleanup(site.Close)
+	w := &world{t: t, site: site, started: time.Now(), version: 1}
+	for n := range count {
+		name := fmt.Sprintf("n%d", n+1)
+		boot, err := site.WriteBoot(t.TempDir(), name, grace, check.NewAddresses(t, 3))
+		require.NoError(t, err)
+		i := &instance{name: name, callers: check.NewLink(t, name+"-callers", boot.Callers), store: check.NewLink(t, name+"-store", site.Address())}
+		settings, err := os.ReadFile(boot.Path)
+		require.NoError(t, err)
+		settings = bytes.ReplaceAll(settings, []byte(site.Address()), []byte(i.store.Address()))
+		require.NoError(t, os.WriteFile(boot.Path, settings, 0o600))
+		i.process = check.NewProcess(t, name, "instance", "--settings="+boot.Path)
+		w.instances = append(w.instances, i)
+	}
+	w.awaitRecovery(recovered)
+	return w
+}
+
+func (w *world) elapsed() time.Duration { return time.Since(w.started).Round(time.Millisecond) }
+
+func (w *world) any(r *rand.Rand) *instance { return w.instances[r.IntN(len(w.instances))] }
+
+// withProcess works at one process that no other fault works at.
+func (w *world) withProcess(r *rand.Rand, work func(i *instance)) {
+	if i := w.any(r); i.engaged.TryLock() {
+		defer i.engaged.Unlock()
+		work(i)
+	}
+}
+
+// withAll works at all processes once no other fault does.
+func (w *world) withAll(work func(all []*instance)) {
+	for _, i := range w.instances {
+		i.engaged.Lock()
+		defer i.engaged.Unlock()
+	}
+	work(w.instances)
+}
+
+// withMember works at one member, often the primary, unless another fault works at a member.
+func (w *world) withMember(r *rand.Rand, work func(member string)) {
+	if !w.member.TryLock() {
+		return
+	}
+	defer w.member.Unlock()
+	member := fmt.Sprintf("i-%d", r.IntN(3)+1)
+	if r.IntN(2) == 0 {
+		member = w.site.Group.Primary()
+	}
+	work(member)
+}
+
+// harm harms the way of one instance to the platform for a while.
+func (w *world) harm(r *rand.Rand, how func(l *check.Link)) {
+	l := w.any(r).store
+	how(l)
+	time.Sleep(lasting(r))
+	l.Heal()
+}
+
+// configure writes the next version, whose newest route has the version in its name.
+func (w *world) configure() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version++
+	w.site.Configure(w.version, 800, fmt.Sprintf("added%d", w.version))
+}
+
+// restart starts a crashed member again; its port may still be taken for a moment.
+func (w *world) restart(member string) {
+	for range 50 {
+		if w.site.Group.Member(member).Restart() == nil {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	w.t.Errorf("member %s did not start again", member)
+}
+
+// awaitEnd waits until the process has ended.
+func (w *world) awaitEnd(i *instance, limit time.Duration) {
+	for until := time.Now().Add(limit); i.process.Running(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(until) {
+			w.t.Errorf("%s did not end within %s of the signal to stop", i.name, limit)
+			i.process.Kill()
+			return
+		}
+	}
+}
+
+// heal removes what faults may have left.
+func (w *world) heal() {
+	for _, i := range w.instances {
+		i.callers.Heal()
+		i.store.Heal()
+	}
+}
+
+// awaitRecovery waits until every instance serves a write.
+func (w *world) awaitRecovery(limit time.Duration) {
+	w.t.Helper()
+	until := time.Now().Add(limit)
+	for _, i := range w.instances {
+		require.Eventually(w.t, func() bool {
+			c, err := fakepl.Dial(i.callers.Address(), "primary")
+			if err != nil {
+				return false
+			}
+			defer c.Close()
+			a, err := c.Query("WRITE warm x")
+			return err == nil && a.Code == ""
+		}, time.Until(until), 20*time.Millisecond, "%s serves again", i.name)
+	}
+}
+
+// check checks the newest configuration and the order of the promotions' tokens.
+func (w *world) check() {
+	w.t.Helper()
+	w.configure()
+	until := time.Now().Add(inForce)
+	for _, i := range w.instances {
+		require.Eventually(w.t, func() bool {
+			c, err := fakepl.Dial(i.callers.Address(), fmt.Sprintf("added%d", w.version))
+			if err == nil {
+				c.Close()
+			}
+			return err == nil
+		}, time.Until(until), 20*time.Millisecond, "version %d is in force at %s", w.version, i.name)
+	}
+	tokens := w.site.Group.Tokens()
+	for n := 1; n < len(tokens); n++ {
+		require.GreaterOrEqual(w.t, tokens[n], tokens[n-1], "tokens of promotions never go back")
+	}
+}
