perf: the next run of an owner claims its databases at once

Now the next run of a recorded owner does not wait for others, the first question is asked at once and its answer names the run that gives it, and the fleet is read first, which also saves a call for each instance. Ruled out: quicker suspicion when a connection is refused (cuts may refuse as well).

--- a/io/check/platform_test.go
+++ b/io/check/platform_test.go
@@ -359,6 +359,37 @@
 	require.Equal(t, 1, acted)
 }
 
+// TestAllInstancesKilledAtOnceServeAgainSoon kills all processes and starts them again, the owner and its deputy last: callers
+// wait for a second at most, so the others must not wait long for an owner that is gone.
+func TestAllInstancesKilledAtOnceServeAgainSoon(t *testing.T) {
+	s := newSite(t, 4, 10*time.Millisecond)
+	for round := range 2 {
+		owner := s.owner()
+		for _, p := range s.processes {
+			p.Kill()
+		}
+		var first int
+		for i, p := range s.processes {
+			if i != owner {
+				first = i
+				p.Start()
+			}
+		}
+		require.Eventually(t, func() bool { return s.ready(first) == http.StatusOK }, 5*time.Second, time.Millisecond)
+		began := time.Now()
+		if round == 0 {
+			time.AfterFunc(50*time.Millisecond, s.processes[owner].Start)
+		}
+		s.awaitService(t, first)
+		t.Logf("owner starts again: %v; served %s after the first instance was ready", round == 0, time.Since(began))
+		require.Less(t, time.Since(began), 600*time.Millisecond)
+		if round == 1 {
+			s.processes[owner].Start()
+		}
+		s.awaitService(t, owner)
+	}
+}
+
 func TestALostRecordIsWrittenAgain(t *testing.T) {
 	s := newSite(t, 2, 10*time.Millisecond)
 	writers := s.play(3*time.Second, func() {
--- a/io/node/calls.go
+++ b/io/node/calls.go
@@ -175,7 +175,7 @@
 	case *wire.Call_StoreCall:
 		return n.serveStore(kind.StoreCall)
 	case *wire.Call_Reach:
-		return &wire.CallReply{Kind: &wire.CallReply_Reached{Reached: &wire.Reached{Alive: n.reaches(kind.Reach)}}}
+		return &wire.CallReply{Kind: &wire.CallReply_Reached{Reached: n.reaches(kind.Reach)}}
 	case *wire.Call_Fence:
 		done := n.holder.fence(types.DatabaseID(kind.Fence.GetDatabase()), types.Epoch(kind.Fence.GetEpoch()))
 		return &wire.CallReply{Kind: &wire.CallReply_Fenced{Fenced: &wire.Fenced{Done: done}}}
@@ -207,15 +207,16 @@
 	return &wire.CallReply{Kind: &wire.CallReply_StoreReply{StoreReply: &wire.StoreReply{Status: uint32(status), Body: body}}}
 }
 
-// reaches reports whether the instance answers from here; an empty name means this one.
-func (n *Node) reaches(reach *wire.Reach) bool {
+// reaches tells whether the instance answers from here; an empty name means this one.
+func (n *Node) reaches(reach *wire.Reach) *wire.Reached {
 	id := types.InstanceID(reach.GetInstance())
 	if id == "" || id == n.settings.Self.ID {
-		return true
+		return &wire.Reached{Alive: true, Incarnation: uint64(n.settings.Self.Incarnation)}
 	}
 	instance, known := n.roster.instance(id)
 	if !known {
-		return false
+		return &wire.Reached{}
 	}
-	return n.alive(n.ctx, instance)
+	_, alive := n.alive(n.ctx, instance)
+	return &wire.Reached{Alive: alive}
 }
--- a/io/node/claim.go
+++ b/io/node/claim.go
@@ -17,7 +17,8 @@
 		return
 	}
 	deputy := known && record.HasDeputy(h.node.settings.Self)
-	if deputy {
+	if deputy || known && record.Instance == h.node.settings.Self.ID {
+		// The deputy, and the next run of the owner itself, need not wait for others.
 		rank = 0
 	}
 	if known && !h.watches.dead(record.Holder, rank) {
--- a/io/node/feed.go
+++ b/io/node/feed.go
@@ -167,14 +167,14 @@
 	n := f.node
 	failures := newFailures()
 	for ctx.Err() == nil {
-		if !f.announced.Load() {
-			f.announced.Store(f.announce(ctx))
-		}
 		after := types.Revision(f.complete.Load())
 		if after == 0 {
 			f.readFleet(ctx, failures)
 			continue
 		}
+		if !f.announced.Load() {
+			f.announced.Store(f.announce(ctx))
+		}
 		if f.announced.Load() && f.rest(ctx, joinPause) {
 			continue
 		}
@@ -234,16 +234,22 @@
 		return false
 	}
 	key := instanceKey(n.settings.Self.ID)
-	present, _, err := n.store.Get(ctx, key)
-	if err == nil {
-		_, err = n.store.Put(ctx, key, value, present.Revision)
+	if _, err = n.store.Put(ctx, key, value, n.roster.revision(key)); err == nil {
+		return true
+	}
+	if kind := fault.From(err); kind == nil || kind.Kind != fault.RevisionConflict {
+		n.logger.Warn("instance not announced", "error", err)
+		pause.For(ctx, retryPause)
 	}
+	// What is known of the entry may be out of date, and a write whose answer was lost may have taken effect.
+	present, found, err := n.store.Get(ctx, key)
 	if err != nil {
-		if kind := fault.From(err); kind == nil || kind.Kind != fault.RevisionConflict {
-			n.logger.Warn("instance not announced", "error", err)
-			pause.For(ctx, retryPause)
-		}
 		return false
 	}
-	return true
+	if !found {
+		n.roster.forget(key)
+		return false
+	}
+	n.roster.take(present)
+	return string(present.Value) == string(value)
 }
--- /dev/null
+++ b/io/node/restart_test.go
@@ -0,0 +1,49 @@
+package node_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"turmericpulley/core/fleet"
+	"turmericpulley/core/hold"
+	"turmericpulley/core/policy"
+	"turmericpulley/core/types"
+	"turmericpulley/io/fakepl"
+)
+
+// callersDeadline is the shortest time that callers of today's sites wait for an answer.
+const callersDeadline = time.Second
+
+// TestTheNextRunOfAnOwnerNeedNotWaitForOthers starts the owner of a database after a loss of all instances; eleven others, which
+// come before it in rendezvous hashing, are not back yet.
+func TestTheNextRunOfAnOwnerNeedNotWaitForOthers(t *testing.T) {
+	site, err := fakepl.NewSite(0)
+	require.NoError(t, err)
+	defer site.Close()
+	var members fleet.Membership
+	for n := range 12 {
+		members, _ = members.With([]fleet.Change{fleet.Join{Instance: fleet.Instance{
+			ID: types.InstanceID(fmt.Sprintf("n%d", n)), PeerAddress: "127.0.0.1:1", DataCentre: "z1", Incarnation: 1, State: fleet.Live,
+		}}})
+	}
+	ranked := members.Ranked(policy.Database{Database: "db1"})
+	last := ranked[len(ranked)-1]
+	for _, i := range ranked {
+		value, err := json.Marshal(i)
+		require.NoError(t, err)
+		site.Store.Put("turmericpulley/instances/"+string(i.ID), value)
+	}
+	record := hold.Record{Holder: hold.Holder{Instance: last.ID, Incarnation: 1}}
+	value, err := record.Encode()
+	require.NoError(t, err)
+	site.Store.Put("turmericpulley/owners/db1", value)
+	began := time.Now()
+	owner := start(t, site, string(last.ID))
+	await(t, owner.callers)
+	t.Logf("served after %s", time.Since(began))
+	require.Less(t, time.Since(began), callersDeadline)
+}
--- a/io/node/roster.go
+++ b/io/node/roster.go
@@ -130,6 +130,26 @@
 	return changed
 }
 
+// revision returns the revision of a key's value; zero when it does not exist.
+func (r *roster) revision(key string) types.Revision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if i := r.items[key]; !i.Deleted {
+		return i.Revision
+	}
+	return 0
+}
+
+// forget notes that a key does not exist although it was not seen to be deleted.
+func (r *roster) forget(key string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if i, known := r.items[key]; known {
+		i.Deleted = true
+		r.items[key] = i
+	}
+}
+
 // owner returns the record of a database.
 func (r *roster) owner(database types.DatabaseID) (owned, bool) {
 	r.mu.Lock()
--- a/io/node/watches.go
+++ b/io/node/watches.go
@@ -41,6 +41,8 @@
 // watch is one owner that is looked after.
 type watch struct {
 	dead bool
+	// incarnation is the newest with which the instance has answered.
+	incarnation fleet.Incarnation
 	// wanted is when anyone asked for it last.
 	wanted time.Time
 }
@@ -75,40 +77,60 @@
 		n.running.Go(func() { w.follow(owner.Instance, held) })
 	}
 	held.wanted = time.Now()
-	return held.dead
+	return held.dead || held.incarnation > owner.Incarnation
 }
 
-// follow asks the instance for signs of life as long as anyone wants to know.
+// follow asks the instance for signs of life as long as anyone wants to know. The first question is asked at once: after a
+// loss of all instances the owners are gone when the others start.
 func (w *watches) follow(id types.InstanceID, held *watch) {
-	for pause.For(w.ctx, watchInterval) {
-		w.mu.Lock()
-		if time.Since(held.wanted) > unwantedLimit {
-			delete(w.held, id)
-			w.mu.Unlock()
-			return
-		}
-		w.mu.Unlock()
-		if w.answers(id) {
+	for w.wanted(id, held) {
+		if w.answers(id, held) {
 			w.set(id, held, false)
-			continue
+		} else {
+			if !pause.For(w.ctx, againInterval) {
+				return
+			}
+			w.set(id, held, w.silent(id, held))
 		}
-		if !pause.For(w.ctx, againInterval) {
+		if !pause.For(w.ctx, watchInterval) {
 			return
 		}
-		w.set(id, held, w.silent(id))
 	}
 }
 
+// wanted reports whether anyone still wants to know of the instance, and ends its watch otherwise.
+func (w *watches) wanted(id types.InstanceID, held *watch) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if time.Since(held.wanted) <= unwantedLimit {
+		return true
+	}
+	delete(w.held, id)
+	return false
+}
+
 // silent asks an instance that gave no answer a second time, and others whether they reach it.
-func (w *watches) silent(id types.InstanceID) bool {
+func (w *watches) silent(id types.InstanceID, held *watch) bool {
 	witnessed := make(chan bool, 1)
 	w.node.running.Go(func() { witnessed <- w.witnessed(id) })
-	return !w.answers(id) && !<-witnessed
+	return !w.answers(id, held) && !<-witnessed
 }
 
-func (w *watches) answers(id types.InstanceID) bool {
+// answers reports whether the instance answers, and notes which run of it does.
+func (w *watches) answers(id types.InstanceID, held *watch) bool {
 	instance, known := w.node.roster.instance(id)
-	return known && w.node.alive(w.ctx, instance)
+	if !known {
+		return false
+	}
+	incarnation, alive := w.node.alive(w.ctx, instance)
+	w.mu.Lock()
+	newer := incarnation > held.incarnation
+	held.incarnation = max(held.incarnation, incarnation)
+	w.mu.Unlock()
+	if newer {
+		w.node.roster.wake()
+	}
+	return alive
 }
 
 func (w *watches) set(id types.InstanceID, held *watch, dead bool) {
@@ -147,10 +169,10 @@
 	return false
 }
 
-// alive reports whether the instance answers.
-func (n *Node) alive(ctx context.Context, i fleet.Instance) bool {
+// alive reports whether the instance answers, and which run of it does.
+func (n *Node) alive(ctx context.Context, i fleet.Instance) (fleet.Incarnation, bool) {
 	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
 	defer cancel()
-	_, err := n.call(ctx, i.PeerAddress, &wire.Call{Kind: &wire.Call_Reach{Reach: &wire.Reach{}}})
-	return err == nil
+	reply, err := n.call(ctx, i.PeerAddress, &wire.Call{Kind: &wire.Call_Reach{Reach: &wire.Reach{}}})
+	return fleet.Incarnation(reply.GetReached().GetIncarnation()), err == nil
 }
