--- a/core/place/admit.go
+++ b/core/place/admit.go
@@ -11,12 +11,17 @@
 //
 // It answers a primary that gets more work than its slots can serve, as when all replicas lag: callers that are refused ask
 // again, and what is then served late has cost slots for nothing. Among the work that waits for the primary the fewest
-// callers are turned away by giving up the longest work first (Moore and Hodgson's rule for the least number of late jobs).
+// callers are turned away by giving up the longest work first (Moore and Hodgson's rule for the least number of late jobs). What
+// is given up waits to be served late when the overload is short, and is refused when timely work takes all slots.
 func (d *Desk) admit(t *ticket, now clock.Moment) (time.Duration, bool) {
 	if t.need.Pinned != "" {
 		return 0, true
 	}
-	if t.band(now) != bandTimely || !d.needsPrimary(t, now) {
+	alone := d.needsPrimary(t, now)
+	if alone {
+		d.demand.note(t.expected, now)
+	}
+	if t.band(now) != bandTimely || !alone {
 		wait, hopeless := d.hopeless(t, now)
 		return wait, !hopeless
 	}
@@ -32,12 +37,16 @@
 		if victim == nil {
 			return 0, true
 		}
+		victim.givenUp = true
+		late, hopeless := d.hopeless(victim, now)
 		if victim == t {
-			return wait, false
+			return max(wait, late), !hopeless
 		}
-		victim.done <- verdict{refusal: errOverload(wait)}
-		d.waiting = slices.DeleteFunc(d.waiting, func(o *ticket) bool { return o == victim })
 		queue = slices.DeleteFunc(queue, func(o *ticket) bool { return o == victim })
+		if hopeless {
+			victim.done <- verdict{refusal: errOverload(max(wait, late))}
+			d.waiting = slices.DeleteFunc(d.waiting, func(o *ticket) bool { return o == victim })
+		}
 	}
 }
 
--- a/core/place/desk.go
+++ b/core/place/desk.go
@@ -30,10 +30,12 @@
 	waiting []*ticket
 	history History
 	// term is the primary's, and base where its log was when it was opened here.
-	term  types.Term
-	base  types.LogPosition
-	work  *work
-	alarm *time.Timer
+	term types.Term
+	base types.LogPosition
+	work *work
+	// demand is the work that arrives for the primary alone.
+	demand demand
+	alarm  *time.Timer
 }
 
 // NewDesk returns a desk without members, closed to work at the primary.
--- a/core/place/desk_test.go
+++ b/core/place/desk_test.go
@@ -346,3 +346,39 @@
 		require.Greater(t, share(2), 0.85, "short reads are served in time, as they can be but for the long ones")
 	})
 }
+
+// TestWorkGivenUpInAShortOverloadIsServedLate answers a burst of 0.6 s: long work that gives way to short work can wait until the
+// slots are free again, and is not turned away.
+func TestWorkGivenUpInAShortOverloadIsServedLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := clock.Runtime()
+		d := newDesk(c)
+		slots := make(chan struct{}, 2)
+		play := func(l load, span time.Duration, seed uint64) *tally {
+			result := &tally{}
+			random := rand.New(rand.NewPCG(seed, 1))
+			var running sync.WaitGroup
+			for end := c.Now().Add(span); c.Now() < end; {
+				time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Second) / float64(l.perSecond)))
+				running.Go(func() { l.operation(d, c, slots, result) })
+			}
+			running.Wait()
+			return result
+		}
+		short := load{perSecond: 60, work: 9 * time.Millisecond, objective: 200 * time.Millisecond, deadline: time.Second, priority: 2}
+		long := load{perSecond: 15, work: 30 * time.Millisecond, objective: 400 * time.Millisecond, deadline: 4 * time.Second, priority: 2}
+		burst := short
+		burst.perSecond = 300
+		var all sync.WaitGroup
+		var served *tally
+		all.Go(func() { play(short, 4*time.Second, 1) })
+		all.Go(func() { served = play(long, 4*time.Second, 2) })
+		all.Go(func() {
+			time.Sleep(2 * time.Second)
+			play(burst, 600*time.Millisecond, 3)
+		})
+		all.Wait()
+		t.Logf("long work: in time %d, late %d, refused %d", served.timely.Load(), served.late.Load(), served.refused.Load())
+		require.Zero(t, served.refused.Load())
+	})
+}
--- a/core/place/forecast.go
+++ b/core/place/forecast.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// lateFactor stretches the forecast of work that is late: timely work that arrives meanwhile goes first. Under a load
-	// of two thirds the wait behind it is three times as long.
+	// lateFactor stretches the forecast of work that is late where the demand is not known: timely work that arrives
+	// meanwhile goes first. Under a load of two thirds the wait behind it is three times as long.
 	lateFactor = 3
 	// timelyFactor stretches the forecast of timely work, whose durations vary. Without it all work of an overload is
 	// served just after its objective: the test with 2.5 times the capacity then ends a sixth of it in time.
@@ -26,13 +26,23 @@
 	if wait == 0 {
 		return 0, false
 	}
-	if t.need.Objective <= now {
-		return wait, now.Add(lateFactor*wait) > t.need.Deadline
+	if t.band(now) == bandLate {
+		return wait, d.tooLate(t, wait, now)
 	}
 	end := now.Add(time.Duration(timelyFactor*float64(wait)) + t.expected)
 	return wait, end > t.need.Objective
 }
 
+// tooLate reports whether late work would miss its deadline behind the timely work that waits and that arrives meanwhile.
+func (d *Desk) tooLate(t *ticket, wait time.Duration, now clock.Moment) bool {
+	primary := d.seats[d.primary]
+	if primary == nil || !d.open || !d.needsPrimary(t, now) {
+		return now.Add(lateFactor*wait) > t.need.Deadline
+	}
+	stretch, room := d.demand.stretch(primary.slots, now)
+	return !room || now.Add(time.Duration(stretch*float64(wait))+t.expected) > t.need.Deadline
+}
+
 // forecast estimates how long a new ticket would wait for its first slot.
 //
 // It counts the work that waits ahead of it and competes for the same members. A read that replicas are going to serve
--- a/core/place/ticket.go
+++ b/core/place/ticket.go
@@ -13,6 +13,8 @@
 	arrived clock.Moment
 	// expected is how long a member usually works at it.
 	expected time.Duration
+	// givenUp tells that it cannot be served in time; it waits to be served late.
+	givenUp bool
 	// done receives the grant, or the reason why there is none.
 	done chan verdict
 }
@@ -48,7 +50,7 @@
 	switch {
 	case t.need.Pinned != "":
 		return bandPinned
-	case now < t.need.Objective:
+	case now < t.need.Objective && !t.givenUp:
 		return bandTimely
 	default:
 		return bandLate
--- a/io/soak/soak_test.go
+++ b/io/soak/soak_test.go
@@ -46,6 +46,7 @@
 
 // play runs callers while the faults of the seed happen, and checks what they saw.
 func play(t *testing.T, seed uint64, calm bool) {
+	t.Helper()
 	w := newWorld(t, *instances)
 	p := newPlan(seed, calm)
 	t.Logf("seed %d: %s", seed, p)
