perf: members that fail part of their requests get few of them

Test: TestAMemberThatFailsPartOfItsRequestsGetsFew (all 600 requests before, fewer than 75 after, its part again when it is well).

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -36,10 +36,19 @@
 	return primary
 }
 
-// replica returns the best replica that can serve now, and whether one will before the objective.
+// replica returns the best replica that can serve now, and whether one will before the objective. Doubtful ones are used
+// only when no other holds the position before the objective.
 func (d *Desk) replica(n Need, now clock.Moment) (best *seat, soon bool) {
+	if best, soon = d.replicaOf(n, now, false); soon {
+		return best, true
+	}
+	return d.replicaOf(n, now, true)
+}
+
+// replicaOf looks among the replicas that are doubtful, or among those that are not.
+func (d *Desk) replicaOf(n Need, now clock.Moment, doubtful bool) (best *seat, soon bool) {
 	for _, s := range d.seats {
-		if s.target == d.primary || !s.usable {
+		if s.target == d.primary || !s.usable || s.health.isDoubtful(now) != doubtful {
 			continue
 		}
 		holds, at := s.lag.has(n.Floor, &d.history)
--- a/core/place/desk.go
+++ b/core/place/desk.go
@@ -80,6 +80,9 @@
 	}
 	if s := d.seats[g.Target]; s != nil {
 		s.busy--
+		if took > 0 {
+			s.health.note(false, d.clock.Now())
+		}
 		if g.held && !keep {
 			s.held--
 		}
@@ -87,6 +90,15 @@
 	d.dispatch(d.clock.Now())
 }
 
+// Blame notes that a statement failed at the member or had no answer.
+func (d *Desk) Blame(target types.TargetID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s := d.seats[target]; s != nil {
+		s.health.note(true, d.clock.Now())
+	}
+}
+
 // Unpin returns the connection that a transaction held.
 func (d *Desk) Unpin(target types.TargetID) {
 	d.mu.Lock()
--- a/core/place/desk_test.go
+++ b/core/place/desk_test.go
@@ -382,3 +382,38 @@
 		require.Zero(t, served.refused.Load())
 	})
 }
+
+// TestAMemberThatFailsPartOfItsRequestsGetsFew answers a replica of which every second request has no answer, though it
+// answers questions for its status; after it is well again it gets its part.
+func TestAMemberThatFailsPartOfItsRequestsGetsFew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := clock.Runtime()
+		d := newDesk(c)
+		random := rand.New(rand.NewPCG(4, 1))
+		serve := func(count int, failing float64) int {
+			atFirst := 0
+			for range count {
+				time.Sleep(10 * time.Millisecond)
+				n := need(c, 300*time.Millisecond, time.Second)
+				n.Replicas, n.Floor = true, at(100)
+				g, err := d.Acquire(n)
+				require.NoError(t, err)
+				took := 5 * time.Millisecond
+				if g.Target == first {
+					atFirst++
+					if random.Float64() < failing {
+						d.Blame(first)
+						took = 0
+					}
+				}
+				time.Sleep(5 * time.Millisecond)
+				d.Release(g, took, false)
+			}
+			return atFirst
+		}
+		require.Greater(t, serve(200, 0), 180, "the first of two equal ones")
+		require.Less(t, serve(600, 0.5), 600/8, "nine seconds of failures")
+		serve(300, 0)
+		require.Greater(t, serve(200, 0), 180, "the member is well again")
+	})
+}
--- a/core/place/seat.go
+++ b/core/place/seat.go
@@ -22,6 +22,7 @@
 	busy   int
 	held   int
 	lag    lag
+	health health
 }
 
 // room reports whether the seat takes the need now.
--- a/io/group/session.go
+++ b/io/group/session.go
@@ -208,6 +208,7 @@
 	asked := g.settings.Clock.Now()
 	replies, err := conn.conn.Exchange(deadline, statement)
 	if err != nil {
+		g.desk.Blame(grant.Target)
 		s.discard(grant, p, conn)
 		p.condemn()
 		g.suspect(grant.Target)
@@ -257,6 +258,9 @@
 	} else {
 		p.put(conn)
 	}
+	if r.Code == stmt.Failed || r.Code == stmt.TimedOut {
+		g.desk.Blame(grant.Target)
+	}
 	g.desk.Release(grant, 0, false)
 	if r.Code == stmt.ReadOnly || r.Code == stmt.Elsewhere {
 		g.suspect(grant.Target)
