--- a/io/pgsrv/failure_test.go
+++ b/io/pgsrv/failure_test.go
@@ -131,6 +131,7 @@
 // testBlockLostBetweenStatements ends a transaction between two statements; with a delay the relay sees the end of the
 // stream only after the next statement could not be sent.
 func testBlockLostBetweenStatements(t *testing.T, endDelay time.Duration) {
+	t.Helper()
 	b := newBench(t)
 	b.set(func(b *bench) { b.endDelay = endDelay })
 	conn := b.connect("")
