fix: questions to members leave connections free, and elections wait for members that are alive

Trace: the primary crashed while the former owner stood still, so that the promotion had to wait for its end. The new owner asked both replicas ten times a second over fresh connections and kept each, until these took all 16 connections of a member; from then on its own questions were refused (MAXCONN), and a new, empty member at the crashed one's address was the only one that told the end of its log: it was chosen, again and again, in the place of two replicas that held everything. Ruled out: a promotion that the platform refuses (each was accepted, of the wrong member).

--- a/io/check/platform_test.go
+++ b/io/check/platform_test.go
@@ -315,6 +315,31 @@
 	}
 }
 
+// TestAPrimaryThatDiesWhileItsFormerOwnerIsSuspendedIsReplaced suspends an owner, and crashes the primary while its successor may
+// not promote yet. The successor's questions used to take all connections of the replicas, which then told nothing of their
+// logs: no primary for the rest of the day (hunt at Sencnik, owner-and-primary with seed 465340577056).
+func TestAPrimaryThatDiesWhileItsFormerOwnerIsSuspendedIsReplaced(t *testing.T) {
+	s := newSite(t, 3, 0)
+	require.Eventually(t, func() bool {
+		return strings.Contains(string(s.Store.Value("turmericpulley/owners/db1")), `"deputy"`)
+	}, 10*time.Second, 20*time.Millisecond)
+	owner := s.owner()
+	began := time.Now()
+	writers := s.play(9*time.Second, func() {
+		s.processes[owner].Pause()
+		require.Eventually(t, func() bool { return s.owner() != owner }, 5*time.Second, 10*time.Millisecond)
+		s.Group.Member("i-1").Crash()
+		time.Sleep(4 * time.Second)
+		s.processes[owner].Resume()
+	}, (owner+1)%3, (owner+2)%3)
+	s.requireOnce(t, writers)
+	require.NotEqual(t, "i-1", s.Group.Primary(), "after %s", time.Since(began))
+	for _, w := range writers {
+		t.Logf("gap %s", w.longestGap)
+		require.Less(t, w.longestGap, 7*time.Second, "3 s, as after other losses, once the former owner can confirm that it stopped")
+	}
+}
+
 func TestServiceGoesOnWithoutTheStore(t *testing.T) {
 	s := newSite(t, 3, 10*time.Millisecond)
 	calls := 0
--- a/io/fakepl/member.go
+++ b/io/fakepl/member.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// maxConnections is the most connections that a member takes, as the stand-in's configuration says.
+const maxConnections = 16
+
 // work is how long a member works at a statement.
 const work = 2 * time.Millisecond
 
@@ -42,14 +45,36 @@
 			if err != nil {
 				return
 			}
-			m.mu.Lock()
-			m.conns[conn] = ""
-			m.mu.Unlock()
-			go (&session{member: m, conn: conn, values: map[string]string{}, prepared: map[string]string{}}).serve()
+			if !m.admit(conn) {
+				_, _ = conn.Write([]byte("ERROR MAXCONN " + m.ID + "\r\n"))
+				_ = conn.Close()
+				continue
+			}
+			go func() {
+				defer m.forget(conn)
+				(&session{member: m, conn: conn, values: map[string]string{}, prepared: map[string]string{}}).serve()
+			}()
 		}
 	}()
 }
 
+// admit counts a connection unless there are too many.
+func (m *Member) admit(conn net.Conn) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.conns) >= maxConnections {
+		return false
+	}
+	m.conns[conn] = ""
+	return true
+}
+
+func (m *Member) forget(conn net.Conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.conns, conn)
+}
+
 // Crash ends the member and all its connections.
 func (m *Member) Crash() {
 	m.mu.Lock()
--- a/io/fakepl/site.go
+++ b/io/fakepl/site.go
@@ -56,7 +56,7 @@
 	}
 	value, err := json.Marshal(map[string]any{
 		"version": version, "routes": routes,
-		"backends": []map[string]any{{"name": s.Group.Name, "maxConns": 16, "syncReplicas": 0}},
+		"backends": []map[string]any{{"name": s.Group.Name, "maxConns": maxConnections, "syncReplicas": 0}},
 		"limits":   map[string]any{"txIdleMs": 3000},
 	})
 	if err != nil {
--- a/io/group/group.go
+++ b/io/group/group.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -23,6 +25,8 @@
 	kicks    chan struct{}
 	cancel   context.CancelFunc
 	running  sync.WaitGroup
+	// retired groups neither watch nor replace the primary.
+	retired atomic.Bool
 
 	mu        sync.Mutex
 	members   []routes.Member
@@ -64,8 +68,20 @@
 	}
 }
 
-// Retire refuses new work but lets open transactions end.
-func (g *Group) Retire() { g.desk.Retire() }
+// Retire refuses new work but lets open transactions end. The members' connections and their primary are the next owner's.
+func (g *Group) Retire() {
+	g.retired.Store(true)
+	g.desk.Retire()
+	g.mu.Lock()
+	pools := slices.Collect(maps.Values(g.pools))
+	g.mu.Unlock()
+	for _, p := range pools {
+		p.retire()
+	}
+}
+
+// connections returns the most connections that are kept to a member.
+func (g *Group) connections() int { return max(1, g.settings.MaxConnections-spareMemberConnections) }
 
 // Primary returns the primary and its data centre; false when there is none at work.
 func (g *Group) Primary() (routes.Member, bool) {
@@ -86,7 +102,7 @@
 		if p := g.pools[m.Target]; p != nil {
 			p.update(m)
 		} else {
-			g.pools[m.Target] = newPool(g.settings.Dialer, m)
+			g.pools[m.Target] = newPool(g.settings.Dialer, m, g.connections())
 		}
 	}
 	for target, p := range g.pools {
@@ -115,7 +131,7 @@
 		seats = append(seats, place.Member{
 			Target:      m.Target,
 			Slots:       m.Slots,
-			Connections: max(1, g.settings.MaxConnections-spareMemberConnections),
+			Connections: g.connections(),
 			Near:        m.DataCentre == g.settings.Self.DataCentre,
 			Usable:      !g.unusable[m.Target] && (!m.Leaving || m.Target == g.primary),
 		})
--- a/io/group/pool.go
+++ b/io/group/pool.go
@@ -11,6 +11,8 @@
 // pool holds the idle connections to one member; the desk bounds those in use.
 type pool struct {
 	dialer Dialer
+	// limit is the most connections that are kept; questions over fresh ones go beyond it for a moment.
+	limit int
 
 	mu     sync.Mutex
 	member routes.Member
@@ -19,8 +21,8 @@
 	closed bool
 }
 
-func newPool(d Dialer, m routes.Member) *pool {
-	return &pool{dialer: d, member: m, inUse: map[*pooled]bool{}}
+func newPool(d Dialer, m routes.Member, limit int) *pool {
+	return &pool{dialer: d, limit: limit, member: m, inUse: map[*pooled]bool{}}
 }
 
 // get returns an idle connection, best one with the session's values, or a new one.
@@ -80,10 +82,18 @@
 	if keep {
 		p.idle = append(p.idle, c)
 	}
+	var surplus []*pooled
+	if over := min(len(p.idle)+len(p.inUse)-p.limit, len(p.idle)); over > 0 {
+		surplus = append(surplus, p.idle[:over]...)
+		p.idle = append(p.idle[:0], p.idle[over:]...)
+	}
 	p.mu.Unlock()
 	if !keep {
 		c.conn.Close()
 	}
+	for _, old := range surplus {
+		old.conn.Close()
+	}
 }
 
 // drop closes a connection that is of no more use.
@@ -103,6 +113,14 @@
 	}
 }
 
+// retire closes the idle connections and keeps none that comes back.
+func (p *pool) retire() {
+	p.mu.Lock()
+	p.limit = 0
+	p.mu.Unlock()
+	p.condemn()
+}
+
 // sever closes all connections, those in use included, whose statements then end without an answer.
 func (p *pool) sever() {
 	p.condemn()
--- a/io/group/probe.go
+++ b/io/group/probe.go
@@ -34,8 +34,11 @@
 		return seen
 	}
 	c, err := p.dial(ctx)
-	if err != nil {
-		seen.err = err
+	if seen.err = err; seen.busy() {
+		// The member is alive and takes no further connection; an idle one tells as much unless it has gone silent.
+		c = p.take(nil)
+	}
+	if c == nil {
 		return seen
 	}
 	g.ask(&seen, c, question)
@@ -111,5 +114,18 @@
 	return seen
 }
 
+// describeSightings says what each member told of its log, or why not.
+func describeSightings(seen []sighting) []string {
+	words := make([]string, 0, len(seen))
+	for _, o := range seen {
+		word := string(o.member.Target) + " " + o.status.Received.String()
+		if o.err != nil {
+			word = string(o.member.Target) + " " + o.err.Error()
+		}
+		words = append(words, word)
+	}
+	return words
+}
+
 // errBusy reports a member that is alive but has no slot for a question.
 var errBusy = errors.New("the member has no slot for a question at the moment")
--- a/io/group/replace.go
+++ b/io/group/replace.go
@@ -43,7 +43,7 @@
 	}
 	candidate, term, found := s.elect(ctx, old, end)
 	if !found {
-		g.logger.Warn("no member can be promoted", "database", g.settings.Database)
+		g.logger.Warn("no member can be promoted")
 		pause.For(ctx, stewardInterval)
 		return
 	}
@@ -97,7 +97,8 @@
 		seen := g.probeAll(ctx, s.others(old))
 		best, found := longest(seen)
 		if found && !s.electable(seen, best) {
-			g.logger.Warn("no member surely holds all acknowledged commits", "best", best.member.Target)
+			g.logger.Warn("no member surely holds all acknowledged commits", "best", best.member.Target,
+				"received", best.status.Received.String(), "seen", describeSightings(seen))
 			return routes.Member{}, 0, false
 		}
 		term := g.currentTerm()
@@ -124,10 +125,14 @@
 	g := s.group
 	election := place.Election{
 		SyncReplicas: g.settings.SyncReplicas, Members: len(seen), Longest: best.status.Received,
+		Waited: g.settings.Clock.Since(s.lost),
 	}
 	for _, o := range seen {
-		if o.err == nil {
+		switch {
+		case o.err == nil:
 			election.Answered++
+		case o.busy():
+			election.Silent++
 		}
 	}
 	g.mu.Lock()
--- a/io/group/steward.go
+++ b/io/group/steward.go
@@ -38,7 +38,7 @@
 // look does what the present state asks for.
 func (s *steward) look(ctx context.Context) {
 	g := s.group
-	if len(g.list()) == 0 || !g.settings.Ownership.Authority().Valid() {
+	if g.retired.Load() || len(g.list()) == 0 || !g.settings.Ownership.Authority().Valid() {
 		return
 	}
 	primary, open := g.desk.Primary()
