fix: an acting deputy goes on as long as readings of the store name it

The log of n1: it acts at 47.659 with 3.249 s left, the store is back at 50.57, a reading at 50.61 still names n1, its right ends at 50.908 all the same and cuts two requests (outcome unknown), and at 51.010 it acts again by that reading. The reading went into the nominations only, from which the next acting starts, not into the right of the one at work. Ruled out: a fence by n3, which claimed at 50.811 (n3 asks others to stop only before a promotion, and no such line is logged); a starved machine (the times between the lines are those of the intervals). Change: a reading that names the deputy extends its right by DeputyDuration from its sending; nothing changes for the owner, and a revoked right stays revoked. A successor counts DeputyDuration from the removal of the name, which is later than any such reading. Before: TestADeputyWorksAsLongAsTheStoreNamesIt (new, store readable but not writable for 7 s) red with 2 unknown outcomes of one caller. After: green, one "deputy acts"; the core test of the right's length as well.

--- a/core/hold/authority.go
+++ b/core/hold/authority.go
@@ -23,32 +23,38 @@
 type Authority struct {
 	clock clock.Clock
 
-	mu       sync.Mutex
-	duration time.Duration
-	epoch    types.Epoch
-	until    clock.Moment
-	revoked  bool
+	mu      sync.Mutex
+	epoch   types.Epoch
+	until   clock.Moment
+	revoked bool
 }
 
 // NewAuthority returns a right that began with a call of the store, sent at the moment, at the epoch.
 func NewAuthority(c clock.Clock, epoch types.Epoch, sent clock.Moment) *Authority {
-	return &Authority{clock: c, duration: Duration, epoch: epoch, until: sent.Add(Duration - margin)}
+	return &Authority{clock: c, epoch: epoch, until: sent.Add(Duration - margin)}
 }
 
 // NewDeputyAuthority returns the shorter right of a deputy, which becomes an owner's with its first confirmation.
 func NewDeputyAuthority(c clock.Clock, epoch types.Epoch, sent clock.Moment) *Authority {
-	return &Authority{clock: c, duration: Duration, epoch: epoch, until: sent.Add(DeputyDuration - margin)}
+	return &Authority{clock: c, epoch: epoch, until: sent.Add(DeputyDuration - margin)}
 }
 
-// Confirm extends the right by a read of the store, sent at the moment, that showed the epoch.
-func (a *Authority) Confirm(epoch types.Epoch, sent clock.Moment) {
+// Confirm extends the right by a read of the store, sent at the moment, that showed the owner at the epoch.
+func (a *Authority) Confirm(epoch types.Epoch, sent clock.Moment) { a.extend(epoch, sent, Duration) }
+
+// Nominate extends a deputy's right by a read of the store, sent at the moment, that still showed its name at the epoch.
+func (a *Authority) Nominate(epoch types.Epoch, sent clock.Moment) {
+	a.extend(epoch, sent, DeputyDuration)
+}
+
+func (a *Authority) extend(epoch types.Epoch, sent clock.Moment, span time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if epoch < a.epoch || a.revoked {
 		return
 	}
 	a.epoch = epoch
-	if until := sent.Add(a.duration - margin); until > a.until {
+	if until := sent.Add(span - margin); until > a.until {
 		a.until = until
 	}
 }
--- a/io/check/platform_test.go
+++ b/io/check/platform_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"turmericpulley/core/hold"
 	"turmericpulley/io/check"
 	"turmericpulley/io/fakepl"
 )
@@ -315,14 +316,20 @@
 	}
 }
 
+// awaitDeputy waits until the owner has named a deputy.
+func (s *site) awaitDeputy(t *testing.T) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		return strings.Contains(string(s.Store.Value("turmericpulley/owners/db1")), `"deputy"`)
+	}, 10*time.Second, 20*time.Millisecond)
+}
+
 // TestAPrimaryThatDiesWhileItsFormerOwnerIsSuspendedIsReplaced suspends an owner, and crashes the primary while its successor may
 // not promote yet. The successor's questions used to take all connections of the replicas, which then told nothing of their
 // logs: no primary for the rest of the day (hunt at Sencnik, owner-and-primary with seed 465340577056).
 func TestAPrimaryThatDiesWhileItsFormerOwnerIsSuspendedIsReplaced(t *testing.T) {
 	s := newSite(t, 3, 0)
-	require.Eventually(t, func() bool {
-		return strings.Contains(string(s.Store.Value("turmericpulley/owners/db1")), `"deputy"`)
-	}, 10*time.Second, 20*time.Millisecond)
+	s.awaitDeputy(t)
 	owner := s.owner()
 	began := time.Now()
 	writers := s.play(9*time.Second, func() {
@@ -356,15 +363,24 @@
 	require.Less(t, s.Store.Calls()-calls, 400, "no stampede while the store is away or on its return")
 }
 
+// readingPause is the time of two readings of the records, after which a deputy has read its name.
+const readingPause = 3 * time.Second
+
+// logged returns how often the instances together have logged the message.
+func (s *site) logged(message string) int {
+	count := 0
+	for _, p := range s.processes {
+		count += strings.Count(p.Log(), message)
+	}
+	return count
+}
+
 // TestADeputyActsForADeadOwnerWithoutTheStore kills the owner while the store is away for everybody; the deputy that the
-// owner has named works in its place and becomes the owner when the store is back.
+// owner has named works in its place, and a living instance becomes the owner when the store is back.
 func TestADeputyActsForADeadOwnerWithoutTheStore(t *testing.T) {
 	s := newSite(t, 3, 10*time.Millisecond)
-	require.Eventually(t, func() bool {
-		return strings.Contains(string(s.Store.Value("turmericpulley/owners/db1")), `"deputy"`)
-	}, 10*time.Second, 20*time.Millisecond)
-	// Two of the owner's confirmations pass, so that the deputy has read its name.
-	time.Sleep(3 * time.Second)
+	s.awaitDeputy(t)
+	time.Sleep(readingPause)
 	owner := s.owner()
 	writers := s.play(5*time.Second, func() {
 		s.Store.Answer(http.StatusServiceUnavailable)
@@ -377,11 +393,28 @@
 	for _, w := range writers {
 		require.Less(t, w.longestGap, 2*time.Second)
 	}
-	acted := 0
-	for _, p := range s.processes {
-		acted += strings.Count(p.Log(), "deputy acts")
+	require.Equal(t, 1, s.logged("deputy acts"))
+}
+
+// TestADeputyWorksAsLongAsTheStoreNamesIt kills the owner while the store can be read but not written for longer than one
+// reading lets a deputy work. The acting deputy's further readings used not to extend its time: it cut what was under way, and
+// began again with the next reading.
+func TestADeputyWorksAsLongAsTheStoreNamesIt(t *testing.T) {
+	s := newSite(t, 3, 10*time.Millisecond)
+	s.awaitDeputy(t)
+	time.Sleep(readingPause)
+	owner := s.owner()
+	writers := s.play(hold.DeputyDuration+2*time.Second, func() {
+		s.Store.RefuseWrites(true)
+		s.processes[owner].Kill()
+	}, (owner+1)%3, (owner+2)%3)
+	s.Store.RefuseWrites(false)
+	s.requireOnce(t, writers)
+	for _, w := range writers {
+		require.LessOrEqual(t, w.unknown, 1, "only the write that the dead owner had")
+		require.Less(t, w.longestGap, 2*time.Second)
 	}
-	require.Equal(t, 1, acted)
+	require.Equal(t, 1, s.logged("deputy acts"))
 }
 
 // TestAllInstancesKilledAtOnceServeAgainSoon kills all processes and starts them again, the owner and its deputy last: callers
--- a/io/fakepl/store.go
+++ b/io/fakepl/store.go
@@ -27,6 +27,7 @@
 	oldest   uint64
 	changed  chan struct{}
 	status   int
+	readOnly bool
 	lose     bool
 	calls    int
 	// Promote is called for each call to promote with the holder, the token, the database and the member.
@@ -67,6 +68,13 @@
 	s.signal()
 }
 
+// RefuseWrites makes the store answer changes with an error while it goes on to be read.
+func (s *Store) RefuseWrites(refuse bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readOnly = refuse
+}
+
 // LoseAnswers lets changes take effect without an answer.
 func (s *Store) LoseAnswers(lose bool) {
 	s.mu.Lock()
@@ -208,6 +216,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.readOnly {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	for _, e := range c.Expect {
 		if s.items[e.Key].Revision != e.Revision {
 			w.WriteHeader(http.StatusPreconditionFailed)
--- a/io/node/deputy.go
+++ b/io/node/deputy.go
@@ -24,6 +24,16 @@
 	sent  clock.Moment
 }
 
+// nominate notes that the store names this instance as the deputy, which lets one that acts go on.
+func (h *holder) nominate(database types.DatabaseID, held *holding, shown nomination) {
+	h.mu.Lock()
+	h.nominations[database] = shown
+	h.mu.Unlock()
+	if held != nil && held.isActing() {
+		held.authority.Nominate(shown.epoch, shown.sent)
+	}
+}
+
 // isActing reports whether the holding is a deputy's.
 func (h *holding) isActing() bool {
 	h.mu.Lock()
--- a/io/node/holder.go
+++ b/io/node/holder.go
@@ -188,9 +188,7 @@
 			held.confirm(owned{record, i.Revision}, sent)
 		}
 		if record.HasDeputy(n.settings.Self) {
-			h.mu.Lock()
-			h.nominations[database] = nomination{types.Epoch(i.Revision), sent}
-			h.mu.Unlock()
+			h.nominate(database, held, nomination{types.Epoch(i.Revision), sent})
 		}
 	}
 	n.roster.retain(ownersPrefix, items, revision)
