fix: followers do not spin while they read a large configuration

Cause: a reader that knows a configuration above 32 KB does not pass it on and answers a follower's question at once, because its version is newer; the follower asked again at once until its own reading of the store was done. Found by reading; the store's own load was ruled out as the cause (each follower reads once, n.fetching). Change: followPause after such an answer. heard() is not called a second time, since exchange has called it.

--- a/io/node/follow.go
+++ b/io/node/follow.go
@@ -106,14 +106,14 @@
 	defer channel.Close()
 	defer context.AfterFunc(ctx, channel.Close)()
 	for ctx.Err() == nil && f.complete.Load() != 0 && slices.Contains(n.readers(), reader) {
-		if !f.ask(channel, reader) {
+		if !f.ask(ctx, channel, reader) {
 			return
 		}
 	}
 }
 
 // ask asks a reader once and reports whether its answer was of use.
-func (f *feed) ask(channel *peers.Channel, reader fleet.Instance) bool {
+func (f *feed) ask(ctx context.Context, channel *peers.Channel, reader fleet.Instance) bool {
 	n := f.node
 	sent := n.settings.Clock.Now()
 	reply, err := n.exchange(time.Now().Add(followWait+followSlack), channel, &wire.Call{Kind: &wire.Call_Follow{Follow: &wire.Follow{
@@ -137,9 +137,8 @@
 	}
 	f.takeFleet(items, types.Revision(followed.GetFleetRevision()))
 	if reply.GetConfiguration() > n.version() {
-		// The reader knows a configuration that is too large to pass on.
-		n.heard(reply.GetConfiguration())
-		return true
+		// The reader knows a configuration that is too large to pass on, and answers at once until this instance has read it.
+		return pause.For(ctx, followPause)
 	}
 	held, age := time.Duration(followed.GetHeldMs())*time.Millisecond, time.Duration(followed.GetAgeMs())*time.Millisecond
 	f.evidence.Told(sent, held, age)
--- a/io/node/follow_test.go
+++ b/io/node/follow_test.go
@@ -100,6 +100,40 @@
 	}
 }
 
+// TestAConfigurationTooLargeToPassOnIsReadFromTheStore gives followers a version that their readers do not pass on: each reads
+// it from the store itself. Until it has, its reader answers its questions at once, and it used to repeat them without a pause
+// (5,822 questions of 9 followers in 0.36 s).
+func TestAConfigurationTooLargeToPassOnIsReadFromTheStore(t *testing.T) {
+	site, err := fakepl.NewSite(0)
+	require.NoError(t, err)
+	defer site.Close()
+	all := newDataCentre(t, site, 11)
+	names := make([]string, 600)
+	for i := range names {
+		names[i] = fmt.Sprintf("large%d", i)
+	}
+	before := questions(all)
+	site.Configure(2, 1000, names...)
+	changed := time.Now()
+	for _, i := range all {
+		require.Eventually(t, func() bool { return opens(i, "large599") }, time.Until(changed.Add(inForce)), 10*time.Millisecond,
+			"%s after %s", i.callers, time.Since(changed))
+	}
+	asked, span := questions(all)-before, time.Since(changed)
+	t.Logf("%d questions in %s", asked, span)
+	// A pause of 100 ms lets ten questions a second of each instance through; ten more belong to opening and watching.
+	require.Less(t, asked, int64(len(all))*(10+10*span.Milliseconds()/1000), "in %s", span)
+}
+
+// questions returns how often the instances have heard of each other.
+func questions(all []*running) int64 {
+	sum := int64(0)
+	for _, i := range all {
+		sum += i.asked.Load()
+	}
+	return sum
+}
+
 // readersOf returns the two instances that follow the store for the others.
 func readersOf(all []*running) []*running {
 	var members fleet.Membership
--- a/io/node/handover_test.go
+++ b/io/node/handover_test.go
@@ -80,6 +80,32 @@
 	callers string
 	away    atomic.Bool
 	stopped bool
+	// asked is the number of times that it has read what other instances sent it on their own connections.
+	asked atomic.Int64
+}
+
+// countedListener counts the reads of the connections that it accepts.
+type countedListener struct {
+	net.Listener
+	reads *atomic.Int64
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{c, l.reads}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	reads *atomic.Int64
+}
+
+func (c countedConn) Read(b []byte) (int, error) {
+	c.reads.Add(1)
+	return c.Conn.Read(b)
 }
 
 func (r *running) stop() {
@@ -110,7 +136,7 @@
 			ID: r.id, PeerAddress: peers.Addr().String(), DataCentre: "z1", State: fleet.Live,
 			Incarnation: fleet.Incarnation(time.Now().UnixNano()),
 		},
-		Callers: callers, Peers: peers, HTTP: ready,
+		Callers: callers, Peers: countedListener{peers, &r.asked}, HTTP: ready,
 		Wrap:    func(c net.Conn) front.Caller { return platform.NewCallerConn(c) },
 		Store:   func(relay node.Relay) node.Store { return cutStore{platform.NewStore(direct, nil), &r.away} },
 		Formats: platform.Formats(), Dialer: platform.MemberDialer{Instance: r.id},
