--- a/core/place/admit.go
+++ b/core/place/admit.go
@@ -53,11 +53,11 @@
 // overdue returns the ticket to give up, and its expected wait, when a ticket of the queue would miss its objective: the
 // least important and longest of those up to it.
 func (d *Desk) overdue(queue []*ticket, now clock.Moment) (*ticket, time.Duration) {
-	primary := d.seats[d.primary]
-	if primary == nil || !primary.usable || !d.open {
+	primary := d.openPrimary()
+	if primary == nil || !primary.usable {
 		return nil, 0
 	}
-	ahead := time.Duration(max(0, primary.busy-primary.slots+1)) * initialWork
+	ahead := primary.backlog()
 	var victim *ticket
 	for _, t := range queue {
 		wait := ahead / time.Duration(primary.slots)
@@ -68,7 +68,7 @@
 		if victim == nil || t.dearerThan(victim) {
 			victim = t
 		}
-		if now.Add(time.Duration(timelyFactor*float64(wait))+t.expected) > t.need.Objective {
+		if t.isLate(wait, now) {
 			return victim, wait
 		}
 	}
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -13,10 +13,7 @@
 		}
 		return nil
 	}
-	primary := d.seats[d.primary]
-	if primary != nil && !d.open {
-		primary = nil
-	}
+	primary := d.openPrimary()
 	if !n.Replicas {
 		if primary != nil && primary.room(n) {
 			return primary
@@ -36,6 +33,14 @@
 	return primary
 }
 
+// openPrimary returns the primary's seat while work may go there.
+func (d *Desk) openPrimary() *seat {
+	if !d.open {
+		return nil
+	}
+	return d.seats[d.primary]
+}
+
 // replica returns the best replica that can serve now, and whether one will before the objective. Doubtful ones are used
 // only when no other holds the position before the objective.
 func (d *Desk) replica(n Need, now clock.Moment) (best *seat, soon bool) {
--- a/core/place/demand.go
+++ b/core/place/demand.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"math"
 	"time"
 
 	"turmericpulley/core/clock"
@@ -15,26 +14,20 @@
 	fullDemand = 0.95
 )
 
-// demand is the work that arrives for the primary, as a share of what its slots can do.
+// demand is the work that only the primary can serve and that has to wait, as the number of slots that it would keep busy.
 type demand struct {
-	work float64 // slots that the arriving work would keep busy
-	at   clock.Moment
+	work fading
 }
 
 // note adds work that arrives.
 func (d *demand) note(expected time.Duration, now clock.Moment) {
-	d.work = d.present(now) + expected.Seconds()/demandSpan.Seconds()
-	d.at = now
-}
-
-func (d *demand) present(now clock.Moment) float64 {
-	return d.work * math.Exp(-now.Sub(d.at).Seconds()/demandSpan.Seconds())
+	d.work.set(d.work.now(now, demandSpan)+expected.Seconds()/demandSpan.Seconds(), now)
 }
 
 // stretch returns by how much the wait of late work grows through the timely work that arrives meanwhile; false when no slot
 // is left for late work.
 func (d *demand) stretch(slots int, now clock.Moment) (float64, bool) {
-	share := d.present(now) / float64(slots)
+	share := d.work.now(now, demandSpan) / float64(slots)
 	if share >= fullDemand {
 		return 0, false
 	}
--- a/core/place/desk_test.go
+++ b/core/place/desk_test.go
@@ -215,13 +215,17 @@
 	return result
 }
 
-func (l load) one(d *place.Desk, c clock.Clock, result *tally) {
-	began := c.Now()
-	n := place.Need{
+// need returns an operation that begins at the moment and may see the log as the replicas have it at first.
+func (l load) need(began clock.Moment) place.Need {
+	return place.Need{
 		Class: place.Class(l.work.String()), Priority: l.priority, Objective: began.Add(l.objective), Deadline: began.Add(l.deadline),
 		Replicas: l.replicas, Floor: at(100),
 	}
-	g, err := d.Acquire(n)
+}
+
+func (l load) one(d *place.Desk, c clock.Clock, result *tally) {
+	began := c.Now()
+	g, err := d.Acquire(l.need(began))
 	if err != nil {
 		if c.Since(began) > l.deadline/2 {
 			result.waitedOut.Add(1)
@@ -280,10 +284,8 @@
 		if attempt > 0 {
 			time.Sleep(callerPause)
 		}
-		n := place.Need{
-			Class: place.Class(l.work.String()), Priority: l.priority, Objective: c.Now().Add(l.objective),
-			Deadline: c.Now().Add(l.deadline), Replicas: l.replicas, Floor: at(201),
-		}
+		n := l.need(c.Now())
+		n.Floor = at(201)
 		g, err := d.Acquire(n)
 		if err != nil {
 			continue
--- a/core/place/forecast.go
+++ b/core/place/forecast.go
@@ -29,14 +29,13 @@
 	if t.band(now) == bandLate {
 		return wait, d.tooLate(t, wait, now)
 	}
-	end := now.Add(time.Duration(timelyFactor*float64(wait)) + t.expected)
-	return wait, end > t.need.Objective
+	return wait, t.isLate(wait, now)
 }
 
 // tooLate reports whether late work would miss its deadline behind the timely work that waits and that arrives meanwhile.
 func (d *Desk) tooLate(t *ticket, wait time.Duration, now clock.Moment) bool {
-	primary := d.seats[d.primary]
-	if primary == nil || !d.open || !d.needsPrimary(t, now) {
+	primary := d.openPrimary()
+	if primary == nil || !d.needsPrimary(t, now) {
 		return now.Add(lateFactor*wait) > t.need.Deadline
 	}
 	stretch, room := d.demand.stretch(primary.slots, now)
@@ -57,7 +56,7 @@
 	for _, s := range d.seats {
 		if s.usable && (soon || s.target == d.primary) {
 			slots += s.slots
-			ahead += time.Duration(max(0, s.busy-s.slots+1)) * initialWork
+			ahead += s.backlog()
 		}
 	}
 	if slots == 0 {
--- a/core/place/health.go
+++ b/core/place/health.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"math"
 	"time"
 
 	"turmericpulley/core/clock"
@@ -23,30 +22,25 @@
 // health is the share of a member's statements that failed or had no answer. It answers members that fail part of their
 // requests although they answer questions for their status.
 type health struct {
-	failures float64
-	at       clock.Moment
+	failures fading
 	doubtful bool
 }
 
 // note takes the end of a statement.
 func (h *health) note(failed bool, now clock.Moment) {
-	h.failures = h.share(now) * (1 - failureWeight)
+	share := h.failures.now(now, forgetSpan) * (1 - failureWeight)
 	if failed {
-		h.failures += failureWeight
+		share += failureWeight
 	}
-	h.at = now
-	if h.failures >= doubtfulFrom {
+	h.failures.set(share, now)
+	if share >= doubtfulFrom {
 		h.doubtful = true
 	}
 }
 
-func (h *health) share(now clock.Moment) float64 {
-	return h.failures * math.Exp(-now.Sub(h.at).Seconds()/forgetSpan.Seconds())
-}
-
 // isDoubtful reports whether work should go to other members.
 func (h *health) isDoubtful(now clock.Moment) bool {
-	if h.doubtful && h.share(now) < soundBelow {
+	if h.doubtful && h.failures.now(now, forgetSpan) < soundBelow {
 		h.doubtful = false
 	}
 	return h.doubtful
--- a/core/place/seat.go
+++ b/core/place/seat.go
@@ -1,6 +1,10 @@
 package place
 
-import "turmericpulley/core/types"
+import (
+	"time"
+
+	"turmericpulley/core/types"
+)
 
 const (
 	// extraInFlight is the work that may wait at a member itself, so that a slot is not idle for a round trip.
@@ -41,3 +45,6 @@
 
 // spare reports whether the seat has a slot beyond those kept for others.
 func (s *seat) spare(kept int) bool { return s.busy < max(s.slots-kept, 0) }
+
+// backlog is the work at the member that a new statement waits for until a slot is free.
+func (s *seat) backlog() time.Duration { return time.Duration(max(0, s.busy-s.slots+1)) * initialWork }
--- a/core/place/ticket.go
+++ b/core/place/ticket.go
@@ -57,6 +57,11 @@
 	}
 }
 
+// isLate reports whether the ticket probably misses its objective after the wait.
+func (t *ticket) isLate(wait time.Duration, now clock.Moment) bool {
+	return now.Add(time.Duration(timelyFactor*float64(wait))+t.expected) > t.need.Objective
+}
+
 // inOrder sorts tickets by their order at the moment; equal ones stay as they came.
 func inOrder(tickets []*ticket, now clock.Moment) {
 	slices.SortStableFunc(tickets, func(a, b *ticket) int {
