feat: counts of store calls, malformed messages and dropped log lines are published

TestBadInputHarmsOnlyItsSender now reads them from an instance's metrics address, which the stand-in's settings name. io/server publishes its counts by the same type.

Tests without a change of the product, green at once: 350 routes more in a storm of changes on three processes; all connections to the primary or to both replicas silent while fresh ones work.

--- a/cmd/instance.go
+++ b/cmd/instance.go
@@ -67,7 +67,10 @@
 	logger := c.logger(beliefs, settings)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	n, err := startNode(settings, logger, c.logger(requests, settings))
+	n, err := startNode(settings, logger, c.logger(requests, settings), meter.Count{
+		Name: "log_lines_dropped", Description: "Log lines that found their ring full.",
+		Read: func() int64 { return beliefs.Dropped() + requests.Dropped() },
+	})
 	if err != nil {
 		logger.Error("instance not started", "error", err)
 		return exitFailed
@@ -108,8 +111,8 @@
 	}
 }
 
-// startNode opens the listeners and starts the instance.
-func startNode(s platform.Settings, logger, requests hclog.Logger) (*node.Node, error) {
+// startNode opens the listeners and starts the instance, whose metrics show the counts as well.
+func startNode(s platform.Settings, logger, requests hclog.Logger, counts ...meter.Count) (*node.Node, error) {
 	listeners := make([]net.Listener, 0, 3)
 	for _, address := range []string{s.Peers, s.Ready, s.Callers} {
 		l, err := net.Listen("tcp", address)
@@ -119,8 +122,15 @@
 		listeners = append(listeners, l)
 	}
 	m, metrics := openMetrics(s.Metrics, logger)
+	var store *platform.Store
+	counts = append(counts, meter.Count{
+		Name: "store_calls", Description: "Calls to the platform's store.", Read: func() int64 { return store.Calls.Load() },
+	}, meter.Count{
+		Name: "store_calls_relayed", Description: "Calls to the platform's store that another instance was asked to make.",
+		Read: func() int64 { return store.Relayed.Load() },
+	})
 	return node.New(node.Settings{
-		Meter: m, Metrics: metrics,
+		Meter: m, Metrics: metrics, Counts: counts,
 		Self: fleet.Instance{
 			ID: s.Instance, PeerAddress: s.Peers, DataCentre: s.DataCentre, State: fleet.Live,
 			Incarnation: fleet.Incarnation(time.Now().UnixMilli()),
@@ -129,7 +139,8 @@
 		Seeds: s.Seeds,
 		Wrap:  func(c net.Conn) front.Caller { return platform.NewCallerConn(c) },
 		Store: func(relay node.Relay) node.Store {
-			return platform.NewStore(platform.NewDirectCaller(s.Store), relay)
+			store = platform.NewStore(platform.NewDirectCaller(s.Store), relay)
+			return store
 		},
 		Formats:        platform.Formats(),
 		Dialer:         platform.MemberDialer{Instance: s.Instance},
--- a/io/check/platform_test.go
+++ b/io/check/platform_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
 	"github.com/stretchr/testify/require"
 
 	"turmericpulley/core/hold"
@@ -30,7 +32,7 @@
 	s := &site{Site: platform}
 	for i := range instances {
 		name := fmt.Sprintf("n%d", i+1)
-		boot, err := platform.WriteBoot(t.TempDir(), name, 4, check.NewAddresses(t, 3))
+		boot, err := platform.WriteBoot(t.TempDir(), name, 4, check.NewAddresses(t, fakepl.BootAddresses))
 		require.NoError(t, err)
 		s.boots = append(s.boots, boot)
 		s.processes = append(s.processes, check.NewProcess(t, name, "instance", "--settings="+boot.Path))
@@ -73,6 +75,15 @@
 	return c
 }
 
+// opens reports whether the instance opens a session for the name.
+func (s *site) opens(instance int, name string) bool {
+	c, err := fakepl.Dial(s.boots[instance].Callers, name)
+	if err == nil {
+		c.Close()
+	}
+	return err == nil
+}
+
 func ask(t *testing.T, c *fakepl.Client, text string) fakepl.Answer {
 	t.Helper()
 	a, err := c.Query(text)
@@ -141,6 +152,24 @@
 	s.Store.Put("op/config", []byte("not JSON"))
 	time.Sleep(1200 * time.Millisecond)
 	ask(t, good, "WRITE a 1")
+	require.GreaterOrEqual(t, s.counted(t, 0, "malformed_messages_total"), 4.0)
+	require.Positive(t, s.counted(t, 0, "unreadable_configurations_total"))
+	require.Positive(t, s.counted(t, 0, "store_calls_total"))
+	require.Zero(t, s.counted(t, 0, "log_lines_dropped_total"))
+}
+
+// counted returns the value of a metric without labels of an instance.
+func (s *site) counted(t *testing.T, instance int, name string) float64 {
+	t.Helper()
+	response, err := http.Get("http://" + s.boots[instance].Metrics + "/metrics")
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(response.Body)
+	require.NoError(t, err)
+	family := families["turmericpulley_"+name]
+	require.NotNil(t, family, name)
+	return family.GetMetric()[0].GetCounter().GetValue()
 }
 
 // writer writes increasing numbers until it is told to stop, and keeps what was acknowledged.
@@ -448,6 +477,40 @@
 	}
 }
 
+// TestSilentConnectionsToThePrimaryAreReplaced lets all connections to the primary go silent while it is well: fresh ones serve
+// soon, nothing is promoted, and only the write that was under way has an unknown outcome. The idle connections that earlier
+// callers left are as silent.
+func TestSilentConnectionsToThePrimaryAreReplaced(t *testing.T) {
+	s := newSite(t, 2, 10*time.Millisecond)
+	s.play(300*time.Millisecond, func() {}, 0, 0, 0, 0, 0, 0)
+	writers := s.play(4*time.Second, func() { s.Group.Member("i-1").SilenceConnections() }, 0)
+	s.requireOnce(t, writers)
+	require.Empty(t, s.Group.Tokens())
+	for _, w := range writers {
+		require.LessOrEqual(t, w.unknown, 1, "the write that was under way")
+		require.Less(t, w.longestGap, 2*time.Second)
+	}
+}
+
+// TestSilentConnectionsToReplicasAreReplaced lets all connections to both replicas go silent: reads go on, by fresh connections or
+// by the primary.
+func TestSilentConnectionsToReplicasAreReplaced(t *testing.T) {
+	s := newSite(t, 2, 10*time.Millisecond)
+	c := s.dial(t, 0, "bounded")
+	ask(t, c, "READ a")
+	s.Group.Member("i-2").SilenceConnections()
+	s.Group.Member("i-3").SilenceConnections()
+	failed := 0
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); {
+		a, err := c.Query("READ a")
+		require.NoError(t, err)
+		if a.Code != "" {
+			failed++
+		}
+	}
+	require.LessOrEqual(t, failed, 1)
+}
+
 func TestALostRecordIsWrittenAgain(t *testing.T) {
 	s := newSite(t, 2, 10*time.Millisecond)
 	writers := s.play(3*time.Second, func() {
@@ -465,18 +528,42 @@
 		time.Sleep(60 * time.Millisecond)
 	}
 	for i := range s.boots {
-		require.Eventually(t, func() bool {
-			c, err := fakepl.Dial(s.boots[i].Callers, "added11")
-			if err == nil {
-				c.Close()
-			}
-			return err == nil
-		}, 3*time.Second, 20*time.Millisecond)
+		require.Eventually(t, func() bool { return s.opens(i, "added11") }, 3*time.Second, 20*time.Millisecond)
 		_, err := fakepl.Dial(s.boots[i].Callers, "added5")
 		require.ErrorContains(t, err, "NODB")
 	}
 }
 
+// TestManyRoutesAreInForceEverywhereAndNoneGoesBack adds 350 routes in a storm of changes: each instance has all of the newest
+// version in time, and none of an older one afterwards.
+func TestManyRoutesAreInForceEverywhereAndNoneGoesBack(t *testing.T) {
+	s := newSite(t, 3, 10*time.Millisecond)
+	const newest = 11
+	named := func(version int) []string {
+		names := make([]string, 350)
+		for i := range names {
+			names[i] = fmt.Sprintf("v%droute%d", version, i)
+		}
+		return names
+	}
+	for version := 2; version <= newest; version++ {
+		s.Configure(version, 800, named(version)...)
+		time.Sleep(60 * time.Millisecond)
+	}
+	changed := time.Now()
+	names := named(newest)
+	for i := range s.boots {
+		require.Eventually(t, func() bool { return s.opens(i, names[349]) }, time.Until(changed.Add(3*time.Second)), 10*time.Millisecond)
+	}
+	for i := range s.boots {
+		for _, name := range names {
+			require.True(t, s.opens(i, name), name)
+		}
+		_, err := fakepl.Dial(s.boots[i].Callers, named(newest - 1)[0])
+		require.ErrorContains(t, err, "NODB")
+	}
+}
+
 // TestLostAnswersAreToldAsUnknown lets the primary run statements without an answer.
 func TestLostAnswersAreToldAsUnknown(t *testing.T) {
 	s := newSite(t, 1, 0)
--- a/io/fakepl/member.go
+++ b/io/fakepl/member.go
@@ -31,6 +31,8 @@
 	down      bool
 	loseReply bool
 	silent    bool
+	// mute are connections on which nothing is answered any more.
+	mute map[net.Conn]bool
 	// cut holds the names of callers whose connections the member does not answer.
 	cut map[string]bool
 }
@@ -73,6 +75,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.conns, conn)
+	delete(m.mute, conn)
 }
 
 // Crash ends the member and all its connections.
@@ -115,6 +118,22 @@
 	m.silent = silent
 }
 
+// SilenceConnections makes the member take bytes on its present connections and answer nothing there; new ones work.
+func (m *Member) SilenceConnections() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.mute = map[net.Conn]bool{}
+	for conn := range m.conns {
+		m.mute[conn] = true
+	}
+}
+
+func (m *Member) isMute(conn net.Conn) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.mute[conn]
+}
+
 // CutFrom lets the member's connections from a caller, present and future ones, end or go unanswered.
 func (m *Member) CutFrom(caller string) {
 	m.mu.Lock()
--- a/io/fakepl/session.go
+++ b/io/fakepl/session.go
@@ -49,6 +49,9 @@
 		if len(parts) < 3 || parts[0] != "QUERY" {
 			return
 		}
+		if s.member.isMute(s.conn) {
+			continue
+		}
 		s.run(parts[1], parts[2])
 		lose, silent := s.member.faults()
 		if lose && parts[1] != "-" {
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -52,7 +52,7 @@
 	Sessions  atomic.Int64
 	Served    atomic.Uint64
 	Failed    atomic.Uint64
-	Malformed atomic.Uint64
+	Malformed atomic.Int64
 }
 
 // Server accepts callers and serves their sessions.
--- a/io/logs/writer.go
+++ b/io/logs/writer.go
@@ -22,8 +22,8 @@
 type Writer struct {
 	out     io.Writer
 	ring    chan []byte
-	dropped atomic.Uint64
-	total   atomic.Uint64
+	dropped atomic.Int64
+	total   atomic.Int64
 	stop    chan struct{}
 	running sync.WaitGroup
 }
@@ -47,7 +47,7 @@
 }
 
 // Dropped returns the number of lines that were dropped.
-func (w *Writer) Dropped() uint64 { return w.total.Load() }
+func (w *Writer) Dropped() int64 { return w.total.Load() }
 
 // Close writes the lines that wait and ends the goroutine.
 func (w *Writer) Close() {
--- a/io/logs/writer_test.go
+++ b/io/logs/writer_test.go
@@ -42,7 +42,7 @@
 	}
 	require.Less(t, time.Since(began), time.Second)
 	dropped := w.Dropped()
-	require.Greater(t, dropped, uint64(1000))
+	require.Greater(t, dropped, int64(1000))
 	out.mu.Unlock()
 	w.Close()
 	text := out.out.String()
--- a/io/node/feed.go
+++ b/io/node/feed.go
@@ -126,6 +126,7 @@
 	}
 	table, err := n.settings.Formats.ParseConfiguration(i.Value)
 	if err != nil {
+		n.unreadable.Add(1)
 		n.logger.Error("configuration not understood", "revision", i.Revision, "error", err)
 		return
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -14,6 +14,7 @@
 	"turmericpulley/core/routes"
 	"turmericpulley/core/types"
 	"turmericpulley/io/front"
+	"turmericpulley/io/meter"
 	"turmericpulley/io/peers"
 )
 
@@ -35,6 +36,8 @@
 	stopping  atomic.Bool
 	fetching  atomic.Bool
 	rereading atomic.Bool
+	// unreadable counts configurations that could not be understood.
+	unreadable atomic.Int64
 	cancel    context.CancelFunc
 	ctx       context.Context
 	running   sync.WaitGroup
@@ -90,6 +93,19 @@
 	if n.settings.Metrics == nil || n.settings.Meter == nil {
 		return
 	}
+	counts := append([]meter.Count{
+		{
+			Name: "malformed_messages", Description: "Messages of callers that could not be understood.",
+			Read: n.callers.Counters().Malformed.Load,
+		},
+		{
+			Name: "unreadable_configurations", Description: "Configurations in the store that could not be understood.",
+			Read: n.unreadable.Load,
+		},
+	}, n.settings.Counts...)
+	if err := n.settings.Meter.Publish(counts...); err != nil {
+		n.logger.Warn("counts not published", "error", err)
+	}
 	n.metrics = &http.Server{ReadHeaderTimeout: probeReadTimeout, Handler: n.settings.Meter.Handler()}
 	n.running.Go(func() { _ = n.metrics.Serve(n.settings.Metrics) })
 }
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -58,9 +58,10 @@
 	Callers net.Listener
 	Peers   net.Listener
 	HTTP    net.Listener
-	// Metrics and Meter may be nil.
+	// Metrics and Meter may be nil; Counts are published beside the node's own.
 	Metrics net.Listener
 	Meter   *meter.Meter
+	Counts  []meter.Count
 	Seeds   []string
 	Wrap    func(net.Conn) front.Caller
 	// Store is made with the relay, by which calls go through another instance.
--- a/io/server/measure.go
+++ b/io/server/measure.go
@@ -8,10 +8,7 @@
 	"turmericpulley/io/pgsrv"
 )
 
-const (
-	unitCount       = "1"
-	unitConnections = "{connection}"
-)
+const unitConnections = "{connection}"
 
 // measure fills the histograms and counters from a finished transaction.
 func (v *Server) measure(t pgsrv.Transaction) {
@@ -36,31 +33,25 @@
 
 // registerCounters publishes what the owners of this instance count.
 func (v *Server) registerCounters() error {
-	counts := []struct {
-		name        string
-		description string
-		read        func() int64
-	}{
-		{"owner_replica_reads", "Transactions answered by replicas.", v.counters.ReplicaReads.Load},
-		{"owner_primary_transactions", "Transactions answered by primaries.", v.counters.PrimaryTransactions.Load},
-		{"owner_refusals", "Transactions refused before they ran.", v.counters.Refusals.Load},
-		{"owner_unknown_outcomes", "Transactions whose outcome is unknown.", v.counters.Unknown.Load},
-		{"owner_retries", "Attempts after the first.", v.counters.Retries.Load},
-		{"owner_promotions", "Primaries promoted.", v.counters.Promotions.Load},
-		{"owner_claims", "Databases taken over.", v.counters.Claims.Load},
-		{"owner_losses", "Databases lost to another owner.", v.counters.Losses.Load},
-		{"owner_dials", "Connections opened to targets.", v.counters.Dials.Load},
-		{"owner_condemned", "Connections thrown away because their state was in doubt.", v.counters.Condemned.Load},
-		{"owner_silent", "Connections replaced because they had gone silent.", v.counters.Silent.Load},
-		{"owner_confirmed_late", "Writes confirmed after a promotion that kept them.", v.counters.ConfirmedLate.Load},
-		{"owner_discarded", "Unacknowledged log entries that returning primaries gave up.", v.counters.Discarded.Load},
-		{"owner_repeats", "Requests answered from the record of their key.", v.counters.Repeats.Load},
-		{"owner_monitor_calls", "Calls made to watch members.", v.counters.MonitorCalls.Load},
-	}
-	for _, c := range counts {
-		if err := v.meter.Counter(c.name, unitCount, c.description, c.read); err != nil {
-			return err
-		}
+	err := v.meter.Publish(
+		meter.Count{Name: "owner_replica_reads", Description: "Transactions answered by replicas.", Read: v.counters.ReplicaReads.Load},
+		meter.Count{Name: "owner_primary_transactions", Description: "Transactions answered by primaries.", Read: v.counters.PrimaryTransactions.Load},
+		meter.Count{Name: "owner_refusals", Description: "Transactions refused before they ran.", Read: v.counters.Refusals.Load},
+		meter.Count{Name: "owner_unknown_outcomes", Description: "Transactions whose outcome is unknown.", Read: v.counters.Unknown.Load},
+		meter.Count{Name: "owner_retries", Description: "Attempts after the first.", Read: v.counters.Retries.Load},
+		meter.Count{Name: "owner_promotions", Description: "Primaries promoted.", Read: v.counters.Promotions.Load},
+		meter.Count{Name: "owner_claims", Description: "Databases taken over.", Read: v.counters.Claims.Load},
+		meter.Count{Name: "owner_losses", Description: "Databases lost to another owner.", Read: v.counters.Losses.Load},
+		meter.Count{Name: "owner_dials", Description: "Connections opened to targets.", Read: v.counters.Dials.Load},
+		meter.Count{Name: "owner_condemned", Description: "Connections thrown away because their state was in doubt.", Read: v.counters.Condemned.Load},
+		meter.Count{Name: "owner_silent", Description: "Connections replaced because they had gone silent.", Read: v.counters.Silent.Load},
+		meter.Count{Name: "owner_confirmed_late", Description: "Writes confirmed after a promotion that kept them.", Read: v.counters.ConfirmedLate.Load},
+		meter.Count{Name: "owner_discarded", Description: "Unacknowledged log entries that returning primaries gave up.", Read: v.counters.Discarded.Load},
+		meter.Count{Name: "owner_repeats", Description: "Requests answered from the record of their key.", Read: v.counters.Repeats.Load},
+		meter.Count{Name: "owner_monitor_calls", Description: "Calls made to watch members.", Read: v.counters.MonitorCalls.Load},
+	)
+	if err != nil {
+		return err
 	}
 	return v.meter.Gauge("caller_connections", unitConnections, "Open connections of callers.", func() int64 {
 		if v.callers == nil {
--- a/io/soak/world_test.go
+++ b/io/soak/world_test.go
@@ -56,7 +56,7 @@
 	w := &world{t: t, site: site, started: time.Now(), version: 1}
 	for n := range count {
 		name := fmt.Sprintf("n%d", n+1)
-		boot, err := site.WriteBoot(t.TempDir(), name, grace, check.NewAddresses(t, 3))
+		boot, err := site.WriteBoot(t.TempDir(), name, grace, check.NewAddresses(t, fakepl.BootAddresses))
 		require.NoError(t, err)
 		i := &instance{name: name, callers: check.NewLink(t, name+"-callers", boot.Callers), store: check.NewLink(t, name+"-store", site.Address())}
 		settings, err := os.ReadFile(boot.Path)
