--- a/io/node/follow_test.go
+++ b/io/node/follow_test.go
@@ -13,13 +13,13 @@
 )
 
 // newDataCentre starts instances of one data centre, and waits until the store has all of them.
-func newDataCentre(t testing.TB, site *fakepl.Site, count int) []*running {
-	t.Helper()
+func newDataCentre(tb testing.TB, site *fakepl.Site, count int) []*running {
+	tb.Helper()
 	instances := make([]*running, 0, count)
 	for i := range count {
-		instances = append(instances, start(t, site, fmt.Sprintf("frontend-%d", i)))
+		instances = append(instances, start(tb, site, fmt.Sprintf("frontend-%d", i)))
 	}
-	t.Cleanup(func() {
+	tb.Cleanup(func() {
 		var stopping sync.WaitGroup
 		for _, i := range instances {
 			stopping.Go(i.stop)
@@ -27,7 +27,7 @@
 		stopping.Wait()
 	})
 	for _, i := range instances {
-		await(t, i.callers)
+		await(tb, i.callers)
 	}
 	time.Sleep(settled)
 	return instances
--- a/io/node/handover_test.go
+++ b/io/node/handover_test.go
@@ -118,17 +118,17 @@
 // grace is the time of a planned stop, in which a database must have found its next owner.
 const grace = 2 * time.Second
 
-func listen(t testing.TB) net.Listener {
-	t.Helper()
+func listen(tb testing.TB) net.Listener {
+	tb.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
+	require.NoError(tb, err)
 	return l
 }
 
-func start(t testing.TB, site *fakepl.Site, name string) *running {
-	t.Helper()
+func start(tb testing.TB, site *fakepl.Site, name string) *running {
+	tb.Helper()
 	r := &running{id: types.InstanceID(name)}
-	callers, peers, ready := listen(t), listen(t), listen(t)
+	callers, peers, ready := listen(tb), listen(tb), listen(tb)
 	r.callers = callers.Addr().String()
 	direct := platform.NewDirectCaller(site.Address())
 	r.Node = node.New(node.Settings{
@@ -143,7 +143,7 @@
 		Promoter: platform.Promoter{Address: site.Address(), Instance: r.id}, Clock: clock.Boot(), Logger: hclog.NewNullLogger(), Requests: hclog.NewNullLogger(),
 		Grace: grace, MaxConnections: 100,
 	})
-	t.Cleanup(func() { r.stop(); direct.Close() })
+	tb.Cleanup(func() { r.stop(); direct.Close() })
 	return r
 }
 
@@ -191,9 +191,9 @@
 }
 
 // await waits until a write is served.
-func await(t testing.TB, address string) {
-	t.Helper()
-	require.Eventually(t, func() bool {
+func await(tb testing.TB, address string) {
+	tb.Helper()
+	require.Eventually(tb, func() bool {
 		c, err := fakepl.Dial(address, "primary")
 		if err != nil {
 			return false
