perf: signs of life use a channel that stays open

Change: each watch keeps its channel; one that has ended is opened anew within the question, one that went silent is given up.

--- a/io/node/calls.go
+++ b/io/node/calls.go
@@ -217,6 +217,8 @@
 	if !known {
 		return &wire.Reached{}
 	}
-	_, alive := n.alive(n.ctx, instance)
+	question := line{}
+	defer question.close()
+	_, alive := question.alive(n.ctx, n, instance.PeerAddress)
 	return &wire.Reached{Alive: alive}
 }
--- a/io/node/watches.go
+++ b/io/node/watches.go
@@ -45,6 +45,8 @@
 	incarnation fleet.Incarnation
 	// wanted is when anyone asked for it last.
 	wanted time.Time
+	// line carries the questions; only follow uses it.
+	line line
 }
 
 func newWatches(n *Node) *watches {
@@ -83,6 +85,7 @@
 // follow asks the instance for signs of life as long as anyone wants to know. The first question is asked at once: after a
 // loss of all instances the owners are gone when the others start.
 func (w *watches) follow(id types.InstanceID, held *watch) {
+	defer held.line.close()
 	for w.wanted(id, held) {
 		if w.answers(id, held) {
 			w.set(id, held, false)
@@ -122,7 +125,7 @@
 	if !known {
 		return false
 	}
-	incarnation, alive := w.node.alive(w.ctx, instance)
+	incarnation, alive := held.line.alive(w.ctx, w.node, instance.PeerAddress)
 	w.mu.Lock()
 	newer := incarnation > held.incarnation
 	held.incarnation = max(held.incarnation, incarnation)
@@ -169,10 +172,3 @@
 	return false
 }
 
-// alive reports whether the instance answers, and which run of it does.
-func (n *Node) alive(ctx context.Context, i fleet.Instance) (fleet.Incarnation, bool) {
-	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
-	defer cancel()
-	reply, err := n.call(ctx, i.PeerAddress, &wire.Call{Kind: &wire.Call_Reach{Reach: &wire.Reach{}}})
-	return fleet.Incarnation(reply.GetReached().GetIncarnation()), err == nil
-}
