--- a/io/node/watches.go
+++ b/io/node/watches.go
@@ -171,4 +171,3 @@
 	}
 	return false
 }
-
