--- a/core/place/slow_test.go
+++ b/core/place/slow_test.go
@@ -35,9 +35,14 @@
 }
 
 // atRandom is the baseline: any member for any read, first come first served there.
-type atRandom struct{ random *rand.Rand }
+type atRandom struct {
+	mu     *sync.Mutex
+	random *rand.Rand
+}
 
 func (a atRandom) acquire(load) (types.TargetID, func(time.Duration), error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	all := members()
 	return all[a.random.IntN(len(all))].Target, func(time.Duration) {}, nil
 }
@@ -95,7 +100,7 @@
 				p, result.timely.Load(), result.late.Load(), result.refused.Load(), atSlow)
 			return float64(result.timely.Load()) / float64(result.timely.Load()+result.late.Load()+result.refused.Load())
 		}
-		baseline := inTime(atRandom{rand.New(rand.NewPCG(5, 1))})
+		baseline := inTime(atRandom{&sync.Mutex{}, rand.New(rand.NewPCG(5, 1))})
 		placed := inTime(byDesk{newDesk(c), c})
 		require.Greater(t, placed, 0.85, "the goal of a day with trouble")
 		require.Greater(t, placed, baseline)
