--- a/io/node/calls.go
+++ b/io/node/calls.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"turmericpulley/core/fleet"
 	"turmericpulley/core/types"
 	"turmericpulley/io/peers"
 	"turmericpulley/io/wire"
@@ -32,6 +33,16 @@
 	return n.exchange(deadline, channel, call)
 }
 
+// openTimeout bounds the opening of a channel to an instance, which takes a round trip when there is no session yet.
+const openTimeout = 200 * time.Millisecond
+
+// open opens a channel to the instance, or gives up soon.
+func (n *Node) open(ctx context.Context, to fleet.Instance) (*peers.Channel, error) {
+	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	return n.transport.Open(ctx, to.PeerAddress)
+}
+
 // exchange sends a call on an open channel and waits for the answer; both carry the versions of the configuration.
 func (n *Node) exchange(deadline time.Time, channel *peers.Channel, call *wire.Call) (*wire.CallReply, error) {
 	if err := channel.Conn().SetDeadline(deadline); err != nil {
@@ -189,11 +200,7 @@
 	case *wire.Call_Follow:
 		return &wire.CallReply{Kind: &wire.CallReply_Followed{Followed: n.feed.followed(kind.Follow, call.GetConfiguration())}}
 	case *wire.Call_ConfigurationQuery:
-		newest := &wire.Configuration{}
-		if i := n.feed.newest.Load(); i != nil {
-			newest.Value, newest.Revision = i.Value, uint64(i.Revision)
-		}
-		return &wire.CallReply{Kind: &wire.CallReply_ConfigurationValue{ConfigurationValue: newest}}
+		return &wire.CallReply{Kind: &wire.CallReply_ConfigurationValue{ConfigurationValue: n.feed.toPass()}}
 	default:
 		return &wire.CallReply{}
 	}
--- a/io/node/feed.go
+++ b/io/node/feed.go
@@ -137,6 +137,26 @@
 	n.logger.Info("configuration in force", "version", int64(table.Version), "revision", i.Revision, "routes", len(table.Routes))
 }
 
+// takePassed takes a configuration that another instance passed on, and reports whether there was one.
+func (f *feed) takePassed(c *wire.Configuration) bool {
+	if len(c.GetValue()) == 0 {
+		return false
+	}
+	f.takeConfiguration(Item{
+		Key: f.node.settings.Formats.Configuration, Value: c.GetValue(), Revision: types.Revision(c.GetRevision()),
+	})
+	return true
+}
+
+// toPass returns the newest configuration as it is passed on to other instances; it is empty before the first.
+func (f *feed) toPass() *wire.Configuration {
+	newest := f.newest.Load()
+	if newest == nil {
+		return &wire.Configuration{}
+	}
+	return &wire.Configuration{Value: newest.Value, Revision: uint64(newest.Revision)}
+}
+
 // version returns the version of the configuration in force.
 func (n *Node) version() int64 {
 	if t := n.routes.Table(); t != nil {
@@ -153,11 +173,7 @@
 		if err != nil {
 			continue
 		}
-		c := reply.GetConfigurationValue()
-		if len(c.GetValue()) > 0 {
-			f.takeConfiguration(Item{
-				Key: n.settings.Formats.Configuration, Value: c.GetValue(), Revision: types.Revision(c.GetRevision()),
-			})
+		if f.takePassed(reply.GetConfigurationValue()) {
 			return
 		}
 	}
--- a/io/node/follow.go
+++ b/io/node/follow.go
@@ -34,16 +34,20 @@
 
 // readers returns the instances that follow the store for this one; none when it follows the store itself.
 func (n *Node) readers() []fleet.Instance {
-	readers := n.roster.readers()
-	if slices.ContainsFunc(readers, func(i fleet.Instance) bool { return i.ID == n.settings.Self.ID }) {
+	if n.isReader() {
 		return nil
 	}
-	return readers
+	return n.roster.readers()
+}
+
+// isReader reports whether this instance follows the store for others.
+func (n *Node) isReader() bool {
+	return slices.ContainsFunc(n.roster.readers(), func(i fleet.Instance) bool { return i.ID == n.settings.Self.ID })
 }
 
 // watchWait returns how long a watch for the configuration waits; readers answer for the age of what they tell others.
 func (f *feed) watchWait() time.Duration {
-	if len(f.node.roster.readers()) > 0 && len(f.node.readers()) == 0 {
+	if f.node.isReader() {
 		return readerWait
 	}
 	return configurationWait
@@ -96,9 +100,7 @@
 // followReader asks one reader for changes until it does not answer, is not covered itself or is no reader any more.
 func (f *feed) followReader(ctx context.Context, reader fleet.Instance) {
 	n := f.node
-	opening, cancel := context.WithTimeout(ctx, openTimeout)
-	channel, err := n.transport.Open(opening, reader.PeerAddress)
-	cancel()
+	channel, err := n.open(ctx, reader)
 	if err != nil {
 		n.logger.Debug("reader not reached", "reader", reader.ID, "error", err)
 		return
@@ -124,11 +126,7 @@
 		n.logger.Debug("reader is of no use", "reader", reader.ID, "error", err)
 		return false
 	}
-	if c := followed.GetConfiguration(); len(c.GetValue()) > 0 {
-		f.takeConfiguration(Item{
-			Key: n.settings.Formats.Configuration, Value: c.GetValue(), Revision: types.Revision(c.GetRevision()),
-		})
-	}
+	f.takePassed(followed.GetConfiguration())
 	items := make([]Item, 0, len(followed.GetItems()))
 	for _, i := range followed.GetItems() {
 		items = append(items, Item{
@@ -151,8 +149,8 @@
 	began := n.settings.Clock.Now()
 	f.awaitChange(question, version)
 	answer := &wire.Followed{FleetRevision: f.complete.Load()}
-	if newest := f.newest.Load(); newest != nil && n.version() > version && len(newest.Value) <= relayedBytes {
-		answer.Configuration = &wire.Configuration{Value: newest.Value, Revision: uint64(newest.Revision)}
+	if passed := f.toPass(); n.version() > version && len(passed.GetValue()) <= relayedBytes {
+		answer.Configuration = passed
 	}
 	for _, i := range n.roster.since(types.Revision(question.GetFleetRevision())) {
 		answer.Items = append(answer.Items, &wire.StoreItem{
--- a/io/node/router.go
+++ b/io/node/router.go
@@ -30,9 +30,6 @@
 	})
 }
 
-// openTimeout bounds the opening of a way to an instance, which takes a round trip when there is no session yet.
-const openTimeout = 200 * time.Millisecond
-
 // router finds the owners of databases for callers' sessions.
 type router struct {
 	node *Node
@@ -82,9 +79,7 @@
 	if !known || id == n.settings.Self.ID {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, openTimeout)
-	defer cancel()
-	channel, err := n.transport.Open(ctx, instance.PeerAddress)
+	channel, err := n.open(ctx, instance)
 	if err != nil {
 		return nil
 	}
