refactor: one replay of arrivals, one way for tests to see that an instance opens and serves

Five replays of core/place had the same loop of random arrivals and three the same count of what was served in time; node, check and soak dialled, asked and closed in six places of their own (fakepl.Opens, fakepl.Serves). The stand-in's client closes the connection of a refused session.

--- a/core/place/desk_test.go
+++ b/core/place/desk_test.go
@@ -202,16 +202,29 @@
 	timely, late, refused, waitedOut atomic.Int64
 }
 
-func (l load) play(t *testing.T, d *place.Desk, c clock.Clock, span time.Duration, seed uint64) *tally {
-	t.Helper()
+// arrive lets operations begin at random moments of the span and returns when all have ended.
+func (l load) arrive(c clock.Clock, span time.Duration, seed uint64, operation func()) {
 	random := rand.New(rand.NewPCG(seed, 1))
-	result := &tally{}
 	var running sync.WaitGroup
 	for end := c.Now().Add(span); c.Now() < end; {
 		time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Second) / float64(l.perSecond)))
-		running.Go(func() { l.one(d, c, result) })
+		running.Go(operation)
 	}
 	running.Wait()
+}
+
+// served counts an operation that began at the moment and was served.
+func (l load) served(began clock.Moment, c clock.Clock, result *tally) {
+	if c.Since(began) <= l.objective {
+		result.timely.Add(1)
+		return
+	}
+	result.late.Add(1)
+}
+
+func (l load) play(d *place.Desk, c clock.Clock, span time.Duration, seed uint64) *tally {
+	result := &tally{}
+	l.arrive(c, span, seed, func() { l.one(d, c, result) })
 	return result
 }
 
@@ -235,11 +248,7 @@
 	}
 	time.Sleep(l.work)
 	d.Release(g, l.work, false)
-	if c.Since(began) <= l.objective {
-		result.timely.Add(1)
-		return
-	}
-	result.late.Add(1)
+	l.served(began, c, result)
 }
 
 // TestOverloadOfThePrimaryKeepsServingInTime sends 2.5 times of what the primary can serve for ten seconds. Most of its
@@ -249,7 +258,7 @@
 		c := clock.Runtime()
 		d := newDesk(c)
 		l := load{perSecond: 500, work: 10 * time.Millisecond, objective: 200 * time.Millisecond, deadline: time.Second}
-		result := l.play(t, d, c, 10*time.Second, 7)
+		result := l.play(d, c, 10*time.Second, 7)
 		capacity := int64(10 * 200)
 		require.Greater(t, result.timely.Load(), capacity*7/10)
 		require.Greater(t, result.refused.Load(), int64(1500))
@@ -267,8 +276,8 @@
 		writes := load{perSecond: 30, work: 3 * time.Millisecond, objective: 100 * time.Millisecond, deadline: 800 * time.Millisecond, priority: 1}
 		var both sync.WaitGroup
 		var served *tally
-		both.Go(func() { flood.play(t, d, c, 6*time.Second, 3) })
-		both.Go(func() { served = writes.play(t, d, c, 6*time.Second, 4) })
+		both.Go(func() { flood.play(d, c, 6*time.Second, 3) })
+		both.Go(func() { served = writes.play(d, c, 6*time.Second, 4) })
 		both.Wait()
 		all := served.timely.Load() + served.late.Load() + served.refused.Load()
 		require.Greater(t, served.timely.Load(), all*95/100)
@@ -295,11 +304,7 @@
 		time.Sleep(l.work)
 		<-slots
 		d.Release(g, c.Since(sent), false)
-		if c.Since(began) <= l.objective {
-			result.timely.Add(1)
-		} else {
-			result.late.Add(1)
-		}
+		l.served(began, c, result)
 		return
 	}
 	result.refused.Add(1)
@@ -329,13 +334,7 @@
 		for i, l := range kinds {
 			tallies[i] = &tally{}
 			all.Go(func() {
-				random := rand.New(rand.NewPCG(uint64(i), 1))
-				var running sync.WaitGroup
-				for end := c.Now().Add(10 * time.Second); c.Now() < end; {
-					time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Second) / float64(l.perSecond)))
-					running.Go(func() { l.operation(d, c, slots, tallies[i]) })
-				}
-				running.Wait()
+				l.arrive(c, 10*time.Second, uint64(i), func() { l.operation(d, c, slots, tallies[i]) })
 			})
 		}
 		all.Wait()
@@ -358,13 +357,7 @@
 		slots := make(chan struct{}, 2)
 		play := func(l load, span time.Duration, seed uint64) *tally {
 			result := &tally{}
-			random := rand.New(rand.NewPCG(seed, 1))
-			var running sync.WaitGroup
-			for end := c.Now().Add(span); c.Now() < end; {
-				time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Second) / float64(l.perSecond)))
-				running.Go(func() { l.operation(d, c, slots, result) })
-			}
-			running.Wait()
+			l.arrive(c, span, seed, func() { l.operation(d, c, slots, result) })
 			return result
 		}
 		short := load{perSecond: 60, work: 9 * time.Millisecond, objective: 200 * time.Millisecond, deadline: time.Second, priority: 2}
--- a/core/place/slow_test.go
+++ b/core/place/slow_test.go
@@ -56,34 +56,24 @@
 	}
 	result := &tally{}
 	var atSlow atomic.Int64
-	random := rand.New(rand.NewPCG(11, 1))
-	var running sync.WaitGroup
-	for end := c.Now().Add(10 * time.Second); c.Now() < end; {
-		time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Second) / float64(l.perSecond)))
-		running.Go(func() {
-			began := c.Now()
-			member, release, err := p.acquire(l)
-			if err != nil {
-				result.refused.Add(1)
-				return
-			}
-			sent, work := c.Now(), l.work
-			if member == slow {
-				work *= time.Duration(factor)
-				atSlow.Add(1)
-			}
-			slots[member] <- struct{}{}
-			time.Sleep(work)
-			<-slots[member]
-			release(c.Since(sent))
-			if c.Since(began) <= l.objective {
-				result.timely.Add(1)
-			} else {
-				result.late.Add(1)
-			}
-		})
-	}
-	running.Wait()
+	l.arrive(c, 10*time.Second, 11, func() {
+		began := c.Now()
+		member, release, err := p.acquire(l)
+		if err != nil {
+			result.refused.Add(1)
+			return
+		}
+		sent, work := c.Now(), l.work
+		if member == slow {
+			work *= time.Duration(factor)
+			atSlow.Add(1)
+		}
+		slots[member] <- struct{}{}
+		time.Sleep(work)
+		<-slots[member]
+		release(c.Since(sent))
+		l.served(began, c, result)
+	})
 	return result, atSlow.Load()
 }
 
--- a/core/place/successor_test.go
+++ b/core/place/successor_test.go
@@ -1,7 +1,6 @@
 package place_test
 
 import (
-	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -36,16 +35,14 @@
 		d.NoteReplica(second, at(100))
 		for i, l := range []load{reads, writes} {
 			all.Go(func() {
-				random := rand.New(rand.NewPCG(uint64(i), 1))
 				began := c.Now()
-				for now := began; now < began.Add(6*time.Second); now = c.Now() {
-					time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Second) / float64(l.perSecond)))
+				l.arrive(c, 6*time.Second, uint64(i), func() {
 					result := returning
 					if c.Since(began) > time.Second {
 						result = fresh
 					}
-					all.Go(func() { l.one(d, c, result) })
-				}
+					l.one(d, c, result)
+				})
 			})
 		}
 		all.Wait()
--- a/io/check/platform_test.go
+++ b/io/check/platform_test.go
@@ -47,15 +47,8 @@
 func (s *site) awaitService(t *testing.T, instance int) {
 	t.Helper()
 	require.Eventually(t, func() bool { return s.ready(instance) == http.StatusOK }, 15*time.Second, 20*time.Millisecond)
-	require.Eventually(t, func() bool {
-		c, err := fakepl.Dial(s.boots[instance].Callers, "primary")
-		if err != nil {
-			return false
-		}
-		defer c.Close()
-		a, err := c.Query("READ warm")
-		return err == nil && a.Code == ""
-	}, 15*time.Second, 50*time.Millisecond)
+	require.Eventually(t, func() bool { return fakepl.Serves(s.boots[instance].Callers, "primary", "READ warm") },
+		15*time.Second, 50*time.Millisecond)
 }
 
 func (s *site) ready(instance int) int {
@@ -75,15 +68,6 @@
 	return c
 }
 
-// opens reports whether the instance opens a session for the name.
-func (s *site) opens(instance int, name string) bool {
-	c, err := fakepl.Dial(s.boots[instance].Callers, name)
-	if err == nil {
-		c.Close()
-	}
-	return err == nil
-}
-
 func ask(t *testing.T, c *fakepl.Client, text string) fakepl.Answer {
 	t.Helper()
 	a, err := c.Query(text)
@@ -528,7 +512,7 @@
 		time.Sleep(60 * time.Millisecond)
 	}
 	for i := range s.boots {
-		require.Eventually(t, func() bool { return s.opens(i, "added11") }, 3*time.Second, 20*time.Millisecond)
+		require.Eventually(t, func() bool { return fakepl.Opens(s.boots[i].Callers, "added11") }, 3*time.Second, 20*time.Millisecond)
 		_, err := fakepl.Dial(s.boots[i].Callers, "added5")
 		require.ErrorContains(t, err, "NODB")
 	}
@@ -553,11 +537,11 @@
 	changed := time.Now()
 	names := named(newest)
 	for i := range s.boots {
-		require.Eventually(t, func() bool { return s.opens(i, names[349]) }, time.Until(changed.Add(3*time.Second)), 10*time.Millisecond)
+		require.Eventually(t, func() bool { return fakepl.Opens(s.boots[i].Callers, names[349]) }, time.Until(changed.Add(3*time.Second)), 10*time.Millisecond)
 	}
 	for i := range s.boots {
 		for _, name := range names {
-			require.True(t, s.opens(i, name), name)
+			require.True(t, fakepl.Opens(s.boots[i].Callers, name), name)
 		}
 		_, err := fakepl.Dial(s.boots[i].Callers, named(newest - 1)[0])
 		require.ErrorContains(t, err, "NODB")
--- a/io/fakepl/client.go
+++ b/io/fakepl/client.go
@@ -37,14 +37,36 @@
 	c := &Client{conn: conn, in: bufio.NewReader(conn)}
 	a, err := c.send("STARTUP "+database+" u1", "")
 	if err != nil {
+		c.Close()
 		return nil, err
 	}
 	if a.Code != "" {
+		c.Close()
 		return nil, fmt.Errorf("refused: %s %s", a.Code, a.Text)
 	}
 	return c, nil
 }
 
+// Opens reports whether a session opens for the name.
+func Opens(address, database string) bool {
+	c, err := Dial(address, database)
+	if err == nil {
+		c.Close()
+	}
+	return err == nil
+}
+
+// Serves reports whether a session opens for the name and the statement succeeds there.
+func Serves(address, database, statement string) bool {
+	c, err := Dial(address, database)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	a, err := c.Query(statement)
+	return err == nil && a.Code == ""
+}
+
 // Query runs one statement.
 func (c *Client) Query(text string) (Answer, error) {
 	id := fmt.Sprintf("%016x", ids.Add(1))
--- a/io/node/follow_test.go
+++ b/io/node/follow_test.go
@@ -40,16 +40,6 @@
 	inForce = 3 * time.Second
 )
 
-// opens reports whether the instance opens a session for the name.
-func opens(i *running, name string) bool {
-	c, err := fakepl.Dial(i.callers, name)
-	if err != nil {
-		return false
-	}
-	c.Close()
-	return true
-}
-
 func TestADataCentreOfManyInstancesAsksTheStoreLittle(t *testing.T) {
 	site, err := fakepl.NewSite(0)
 	require.NoError(t, err)
@@ -93,7 +83,7 @@
 				if i.stopped || i.away.Load() {
 					continue
 				}
-				require.Eventually(t, func() bool { return opens(i, "late") }, time.Until(changed.Add(bound)), 10*time.Millisecond,
+				require.Eventually(t, func() bool { return fakepl.Opens(i.callers, "late") }, time.Until(changed.Add(bound)), 10*time.Millisecond,
 					"%s after %s", i.callers, time.Since(changed))
 			}
 		})
@@ -116,7 +106,7 @@
 	site.Configure(2, 1000, names...)
 	changed := time.Now()
 	for _, i := range all {
-		require.Eventually(t, func() bool { return opens(i, "large599") }, time.Until(changed.Add(inForce)), 10*time.Millisecond,
+		require.Eventually(t, func() bool { return fakepl.Opens(i.callers, "large599") }, time.Until(changed.Add(inForce)), 10*time.Millisecond,
 			"%s after %s", i.callers, time.Since(changed))
 	}
 	asked, span := questions(all)-before, time.Since(changed)
@@ -138,7 +128,7 @@
 func readersOf(all []*running) []*running {
 	var members fleet.Membership
 	for _, i := range all {
-		members, _ = members.With([]fleet.Change{fleet.Join{Instance: fleet.Instance{ID: i.id, DataCentre: "z1", Incarnation: 1, State: fleet.Live}}})
+		members.Instances = append(members.Instances, fleet.Instance{ID: i.id, DataCentre: "z1", State: fleet.Live})
 	}
 	var readers []*running
 	for _, r := range members.Readers("z1") {
--- a/io/node/handover_test.go
+++ b/io/node/handover_test.go
@@ -197,13 +197,5 @@
 // await waits until a write is served.
 func await(tb testing.TB, address string) {
 	tb.Helper()
-	require.Eventually(tb, func() bool {
-		c, err := fakepl.Dial(address, "primary")
-		if err != nil {
-			return false
-		}
-		defer c.Close()
-		a, err := c.Query("WRITE a 1")
-		return err == nil && a.Code == ""
-	}, 5*time.Second, 20*time.Millisecond)
+	require.Eventually(tb, func() bool { return fakepl.Serves(address, "primary", "WRITE a 1") }, 5*time.Second, 20*time.Millisecond)
 }
--- a/io/soak/world_test.go
+++ b/io/soak/world_test.go
@@ -155,15 +155,8 @@
 	w.t.Helper()
 	until := time.Now().Add(limit)
 	for _, i := range w.instances {
-		require.Eventually(w.t, func() bool {
-			c, err := fakepl.Dial(i.callers.Address(), "primary")
-			if err != nil {
-				return false
-			}
-			defer c.Close()
-			a, err := c.Query("WRITE warm x")
-			return err == nil && a.Code == ""
-		}, time.Until(until), 20*time.Millisecond, "%s serves again", i.name)
+		require.Eventually(w.t, func() bool { return fakepl.Serves(i.callers.Address(), "primary", "WRITE warm x") },
+			time.Until(until), 20*time.Millisecond, "%s serves again", i.name)
 	}
 }
 
@@ -173,13 +166,9 @@
 	w.configure()
 	until := time.Now().Add(inForce)
 	for _, i := range w.instances {
-		require.Eventually(w.t, func() bool {
-			c, err := fakepl.Dial(i.callers.Address(), fmt.Sprintf("added%d", w.version))
-			if err == nil {
-				c.Close()
-			}
-			return err == nil
-		}, time.Until(until), 20*time.Millisecond, "version %d is in force at %s", w.version, i.name)
+		newest := fmt.Sprintf("added%d", w.version)
+		require.Eventually(w.t, func() bool { return fakepl.Opens(i.callers.Address(), newest) },
+			time.Until(until), 20*time.Millisecond, "version %d is in force at %s", w.version, i.name)
 	}
 	tokens := w.site.Group.Tokens()
 	for n := 1; n < len(tokens); n++ {
