refactor: a question gives its connection back itself; one word for being covered

io/group gave the connection of a question back in two ways that were the same; io/node asked in two places whether readers cover the instance; a line computed a deadline for a context that always had one. No change of behaviour.

--- a/io/group/probe.go
+++ b/io/group/probe.go
@@ -41,12 +41,7 @@
 	if c == nil {
 		return seen
 	}
-	g.ask(&seen, c, question)
-	if seen.err != nil {
-		p.drop(c)
-		return seen
-	}
-	p.put(c)
+	g.ask(&seen, p, c, question)
 	return seen
 }
 
@@ -61,18 +56,19 @@
 		return g.probe(ctx, m, stmt.Statement{Kind: stmt.Status})
 	}
 	seen := sighting{member: m, asked: g.settings.Clock.Now()}
-	g.ask(&seen, c, stmt.Statement{Kind: stmt.Status})
+	g.ask(&seen, p, c, stmt.Statement{Kind: stmt.Status})
 	if seen.err == nil {
-		p.put(c)
 		return seen
 	}
-	p.drop(c)
 	p.condemn()
 	return g.probe(ctx, m, stmt.Statement{Kind: stmt.Status})
 }
 
-func (g *Group) ask(seen *sighting, c *pooled, question stmt.Statement) {
+// ask asks over the connection and gives it back to its pool, which closes it after a failure.
+func (g *Group) ask(seen *sighting, p *pool, c *pooled, question stmt.Statement) {
 	seen.status, seen.applied, seen.err = AskStatus(g.settings.Dialer, c.conn, time.Now().Add(probeTimeout), question)
+	c.broken = c.broken || seen.err != nil
+	p.put(c)
 }
 
 // AskStatus asks a member a question that it answers with its status, and returns where the log that its reads see
--- a/io/node/follow.go
+++ b/io/node/follow.go
@@ -56,17 +56,19 @@
 // rest waits while the readers cover this instance, at most for the span, and reports whether it did: the store need not be
 // asked meanwhile.
 func (f *feed) rest(ctx context.Context, most time.Duration) bool {
-	left := f.evidence.Left()
-	if left == 0 || len(f.node.readers()) == 0 {
+	if !f.isCovered() {
 		return false
 	}
-	pause.For(ctx, min(left, most))
+	pause.For(ctx, min(f.evidence.Left(), most))
 	return true
 }
 
+// isCovered reports whether this instance follows readers and what they told it is recent enough.
+func (f *feed) isCovered() bool { return f.evidence.Left() > 0 && len(f.node.readers()) > 0 }
+
 // comes waits for a version that other instances have, while a reader is about to bring it, and reports whether it came.
 func (f *feed) comes(ctx context.Context, version int64) bool {
-	if f.evidence.Left() == 0 || len(f.node.readers()) == 0 {
+	if !f.isCovered() {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, followPatience)
@@ -157,8 +159,8 @@
 			Key: i.Key, Value: i.Value, Revision: uint64(i.Revision), Deleted: i.Deleted,
 		})
 	}
-	age, known := f.evidence.Age()
-	answer.Covered = known && f.evidence.Left() > 0
+	age, _ := f.evidence.Age()
+	answer.Covered = f.evidence.Left() > 0
 	answer.AgeMs = uint32((age + time.Millisecond - 1).Milliseconds())
 	answer.HeldMs = uint32(n.settings.Clock.Since(began).Milliseconds())
 	return answer
--- a/io/node/line.go
+++ b/io/node/line.go
@@ -21,14 +21,13 @@
 // alive reports whether the instance at the address answers, and which run of it does. A channel that has ended is opened anew
 // within the question; one that went silent is given up, so that the next question finds another way.
 func (l *line) alive(ctx context.Context, n *Node, address string) (fleet.Incarnation, bool) {
-	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
-	defer cancel()
+	deadline := time.Now().Add(aliveTimeout)
 	if l.address != address {
 		l.close()
 	}
 	for range 2 {
 		kept := l.channel != nil
-		incarnation, err := l.ask(ctx, n, address)
+		incarnation, err := l.ask(ctx, n, address, deadline)
 		if err == nil {
 			return incarnation, true
 		}
@@ -41,18 +40,16 @@
 	return 0, false
 }
 
-func (l *line) ask(ctx context.Context, n *Node, address string) (fleet.Incarnation, error) {
+func (l *line) ask(ctx context.Context, n *Node, address string, deadline time.Time) (fleet.Incarnation, error) {
 	if l.channel == nil {
+		ctx, cancel := context.WithDeadline(ctx, deadline)
+		defer cancel()
 		channel, err := n.transport.Open(ctx, address)
 		if err != nil {
 			return 0, err
 		}
 		l.channel, l.address = channel, address
 	}
-	deadline, bounded := ctx.Deadline()
-	if !bounded {
-		deadline = time.Now().Add(aliveTimeout)
-	}
 	reply, err := n.exchange(deadline, l.channel, &wire.Call{Kind: &wire.Call_Reach{Reach: &wire.Reach{}}})
 	return fleet.Incarnation(reply.GetReached().GetIncarnation()), err
 }
