perf: a fleet calls an absent store in turns

Cause: while the store is away, every follower reads configuration and fleet by itself each second, and relays each read through two others, which cannot reach it either. Change: when its readers answer and its copy is not fresh, a follower waits for its turn, and reads the store directly; the fleet is left to the readers until the store serves it. A failed watch does not forget the fleet's revision, so that a reader can still bring the changes.

--- a/cmd/instance.go
+++ b/cmd/instance.go
@@ -125,13 +125,14 @@
 		listeners = append(listeners, l)
 	}
 	m, metrics := openMetrics(s.Metrics, logger)
-	var store *platform.Store
+	calls := &platform.StoreCalls{}
 	counters = append(counters, meter.CounterFunc{
-		Name: "store_calls", Description: "Calls to the platform's store.", Read: func() int64 { return store.DirectCalls.Load() },
+		Name: "store_calls", Description: "Calls to the platform's store.", Read: calls.Direct.Load,
 	}, meter.CounterFunc{
 		Name: "store_calls_relayed", Description: "Calls to the platform's store that another instance was asked to make.",
-		Read: func() int64 { return store.RelayedCalls.Load() },
+		Read: calls.Relayed.Load,
 	})
+	direct := platform.NewDirectCaller(s.Store)
 	return node.New(node.Settings{
 		Meter: m, Metrics: metrics, Counters: counters,
 		Self: fleet.Instance{
@@ -142,8 +143,7 @@
 		Seeds:         s.Seeds,
 		NewCallerConn: func(c net.Conn) front.CallerConn { return platform.NewCallerConn(c) },
 		Store: func(relay node.StoreCaller) node.Store {
-			store = platform.NewStore(platform.NewDirectCaller(s.Store), relay)
-			return store
+			return platform.NewStore(direct, relay, calls)
 		},
 		Formats:        platform.Formats(),
 		Dialer:         platform.MemberDialer{Instance: s.Instance},
--- a/io/node/directory.go
+++ b/io/node/directory.go
@@ -234,6 +234,22 @@
 	return d.localReaders
 }
 
+// localPosition returns how many instances of this one's data centre come before it by id, and how many there are in all.
+func (d *directory) localPosition() (position, count int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, i := range d.instances {
+		if i.DataCentre != d.self.DataCentre {
+			continue
+		}
+		count++
+		if i.ID < d.self.ID {
+			position++
+		}
+	}
+	return position, count
+}
+
 // nextChange returns a channel that is closed at the next change or call of wake.
 func (d *directory) nextChange() <-chan struct{} {
 	d.mu.Lock()
--- a/io/node/handover_test.go
+++ b/io/node/handover_test.go
@@ -140,7 +140,7 @@
 		Callers: callers, Peers: countingListener{peers, &r.peerReads}, HTTP: ready,
 		NewCallerConn: func(c net.Conn) front.CallerConn { return platform.NewCallerConn(c) },
 		Store: func(relay node.StoreCaller) node.Store {
-			return disconnectableStore{platform.NewStore(direct, nil), &r.disconnected}
+			return disconnectableStore{platform.NewStore(direct, nil, &platform.StoreCalls{}), &r.disconnected}
 		},
 		Formats: platform.Formats(), Dialer: platform.MemberDialer{Instance: r.id},
 		Promoter: platform.Promoter{Address: site.Address(), Instance: r.id}, Clock: clock.Boot(),
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -20,11 +20,13 @@
 
 // Node is one instance of the proxy on the users' platform.
 type Node struct {
-	settings              Settings
-	logger                hclog.Logger
-	routes                *routes.CurrentTable
-	directory             *directory
-	store                 Store
+	settings  Settings
+	logger    hclog.Logger
+	routes    *routes.CurrentTable
+	directory *directory
+	store     Store
+	// directStore is the store without calls through other instances.
+	directStore           Store
 	transport             *peers.Transport
 	ownerships            *ownershipManager
 	memberEntries         *memberEntries
@@ -49,7 +51,7 @@
 	n := &Node{
 		settings: s, logger: s.Logger, routes: routes.NewCurrentTable(), directory: newDirectory(s.Self), ctx: ctx, cancel: cancel,
 	}
-	n.store = s.Store(&relay{node: n})
+	n.directStore, n.store = s.Store(nil), s.Store(&relay{node: n})
 	n.memberEntries = newMemberEntries(n)
 	n.unresponsive = newUnresponsive()
 	n.ownerships = newOwnershipManager(n)
--- a/io/node/peercalls.go
+++ b/io/node/peercalls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -108,6 +109,21 @@
 	return addresses
 }
 
+// relayAddresses returns the peer addresses of maxRelayPeers other instances, other ones with each call: the store may refuse the
+// ones of an earlier call too.
+func (n *Node) relayAddresses() []string {
+	others := n.otherAddresses(len(n.directory.all()) + len(n.settings.Seeds))
+	if len(others) <= maxRelayPeers {
+		return others
+	}
+	start := rand.IntN(len(others))
+	chosen := make([]string, 0, maxRelayPeers)
+	for i := range maxRelayPeers {
+		chosen = append(chosen, others[(start+i)%len(others)])
+	}
+	return chosen
+}
+
 // relay sends calls to the store through other instances. It implements StoreCaller.
 type relay struct {
 	node *Node
@@ -127,7 +143,7 @@
 // call to the store has a cost. It returns the first usable answer.
 func (r *relay) Call(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
 	n := r.node
-	addresses := n.otherAddresses(maxRelayPeers)
+	addresses := n.relayAddresses()
 	answers := make(chan relayResult, len(addresses))
 	lastErr := errors.New("no other instance is known that could relay the call")
 	asked, answered := 0, 0
--- a/io/node/readers.go
+++ b/io/node/readers.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"turmericpulley/core/cover"
 	"turmericpulley/core/fleet"
 	"turmericpulley/core/pause"
 	"turmericpulley/core/types"
@@ -23,6 +24,14 @@
 	// before the next request when a reader did not answer or cannot send its configuration.
 	readersInterval  = 500 * time.Millisecond
 	followRetryDelay = 100 * time.Millisecond
+	// readerAnswerPeriod is the time after an answer of a reader during which the readers count as answering. It covers the next
+	// request, and one to the other reader.
+	readerAnswerPeriod = 2 * (followTimeout + followRetryDelay)
+	// servedPeriod is the time after the sending of an own call during which the store counts as serving this instance. It
+	// covers a watch that waits.
+	servedPeriod = configurationWatchTimeout + time.Second
+	// freshnessCheckInterval is the time between two checks whether a store reader has made this instance's copy fresh.
+	freshnessCheckInterval = 100 * time.Millisecond
 	// followBatchDelay is how long a reader waits after a change of the instances, so that changes that occur together go into
 	// one answer.
 	followBatchDelay = 200 * time.Millisecond
@@ -70,6 +79,31 @@
 	return s.freshness.Remaining() > 0 && len(s.node.followedReaders()) > 0
 }
 
+// leavesStoreToReaders reports whether this instance follows store readers that answer, and the store has not served this instance
+// itself lately. When its copy is not fresh then, the store does not serve the readers.
+func (s *storeSync) leavesStoreToReaders() bool {
+	now := s.node.settings.Clock.Now()
+	return s.readerAnswered.isWithin(readerAnswerPeriod, now) && !s.served.isWithin(servedPeriod, now) && len(s.node.followedReaders()) > 0
+}
+
+// awaitTurn waits until this instance may read the store itself, or until a reader has made its copy fresh again. It returns at
+// once when the readers do not answer, or when the store serves this instance.
+func (s *storeSync) awaitTurn(ctx context.Context, failures int) {
+	n := s.node
+	if !s.leavesStoreToReaders() {
+		return
+	}
+	position, followers := n.directory.localPosition()
+	turn := n.settings.Clock.Now().Add(cover.OwnReadDelay(position, followers, failures))
+	for s.leavesStoreToReaders() && !s.isFresh() && ctx.Err() == nil {
+		left := n.settings.Clock.Until(turn)
+		if left <= 0 {
+			return
+		}
+		pause.For(ctx, min(left, freshnessCheckInterval))
+	}
+}
+
 // awaitVersion waits up to readerVersionTimeout for the readers to send a configuration version that other instances have, and
 // reports whether it arrived.
 func (s *storeSync) awaitVersion(ctx context.Context, version int64) bool {
@@ -131,6 +165,9 @@
 		FleetRevision: s.fleetRevision.Load(), WaitMs: uint32(followTimeout.Milliseconds()),
 	}}})
 	followed := reply.GetFollowed()
+	if err == nil && followed != nil {
+		s.readerAnswered.set(n.settings.Clock.Now())
+	}
 	if err != nil || followed == nil || !followed.GetCovered() {
 		n.logger.Debug("store reader gave no usable answer", "reader", reader.ID, "error", err)
 		return false
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -68,7 +68,7 @@
 	Seeds []string
 	// NewCallerConn returns the caller's connection for an accepted network connection.
 	NewCallerConn func(net.Conn) front.CallerConn
-	// Store creates the store's client; the relay sends calls through another instance.
+	// Store creates a client of the store; the relay sends calls through another instance. The client does without if it is nil.
 	Store    func(relay StoreCaller) Store
 	Formats  Formats
 	Dialer   group.Dialer
--- a/io/node/storesync.go
+++ b/io/node/storesync.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"turmericpulley/core/clock"
 	"turmericpulley/core/cover"
 	"turmericpulley/core/fault"
 	"turmericpulley/core/pause"
@@ -47,6 +48,22 @@
 	fleetRevision atomic.Uint64
 	// entryPublished is set while the store is known to hold this instance's entry.
 	entryPublished atomic.Bool
+	// served is when the store last answered this instance's own call for the configuration; zero after a call that failed.
+	// readerAnswered is when a store reader last answered a follow request, whether its own copy was fresh or not.
+	served         moment
+	readerAnswered moment
+}
+
+// moment is a moment that several goroutines use; zero is longer ago than any period.
+type moment struct{ at atomic.Int64 }
+
+// set records the moment.
+func (m *moment) set(at clock.Moment) { m.at.Store(int64(at)) }
+
+// isWithin reports whether the moment lies within the period before now.
+func (m *moment) isWithin(period time.Duration, now clock.Moment) bool {
+	at := clock.Moment(m.at.Load())
+	return at != 0 && now.Sub(at) < period
 }
 
 func newStoreSync(n *Node) *storeSync {
@@ -61,18 +78,25 @@
 	n := s.node
 	var after types.Revision
 	available := true
+	failures := 0
 	backoff := newBackoff()
 	for ctx.Err() == nil {
 		if s.waitWhileFresh(ctx, cover.MaxAge) {
-			after = 0
+			after, failures = 0, 0
 			continue
 		}
 		if after == 0 {
-			after = s.readConfiguration(ctx, &available, backoff)
+			if s.awaitTurn(ctx, failures); s.isFresh() {
+				continue
+			}
+			if after = s.readConfiguration(ctx, &available, backoff); after == 0 {
+				failures++
+			}
 			continue
 		}
 		sent, wait := n.settings.Clock.Now(), s.watchTimeout()
 		items, next, err := n.store.Watch(ctx, n.settings.Formats.ConfigurationPrefix, after, wait)
+		s.recordServed(sent, err)
 		if err != nil {
 			after = 0
 			pause.For(ctx, backoff.Next())
@@ -95,7 +119,13 @@
 func (s *storeSync) readConfiguration(ctx context.Context, available *bool, backoff *pause.Backoff) types.Revision {
 	n := s.node
 	sent := n.settings.Clock.Now()
-	items, revision, err := n.store.Range(ctx, n.settings.Formats.ConfigurationPrefix)
+	store := n.store
+	if s.leavesStoreToReaders() {
+		// The readers have tried the other ways to the store.
+		store = n.directStore
+	}
+	items, revision, err := store.Range(ctx, n.settings.Formats.ConfigurationPrefix)
+	s.recordServed(sent, err)
 	if err == nil {
 		s.logStoreState(available, true, "")
 		for _, item := range items {
@@ -113,6 +143,14 @@
 	return 0
 }
 
+// recordServed records whether the store answered a call of this instance that was sent at the given time.
+func (s *storeSync) recordServed(sent clock.Moment, err error) {
+	if err != nil {
+		sent = 0
+	}
+	s.served.set(sent)
+}
+
 // logStoreState logs that the store has become available or unavailable.
 func (s *storeSync) logStoreState(available *bool, answers bool, reason string) {
 	if *available == answers {
@@ -190,11 +228,12 @@
 // followFleet keeps the instances and owners up to date, and this instance's entry in the store.
 func (s *storeSync) followFleet(ctx context.Context) {
 	n := s.node
+	incomplete := false
 	backoff := newBackoff()
 	for ctx.Err() == nil {
 		after := types.Revision(s.fleetRevision.Load())
-		if after == 0 {
-			s.readFleet(ctx, backoff)
+		if after == 0 || incomplete && !s.leavesStoreToReaders() {
+			incomplete = !s.readFleet(ctx, backoff)
 			continue
 		}
 		if !s.entryPublished.Load() {
@@ -203,9 +242,15 @@
 		if s.entryPublished.Load() && s.waitWhileFresh(ctx, instanceBatchDelay) {
 			continue
 		}
+		if s.entryPublished.Load() && s.leavesStoreToReaders() {
+			pause.For(ctx, freshnessCheckInterval)
+			continue
+		}
 		items, next, err := n.store.Watch(ctx, fleetPrefix, after, fleetWatchTimeout)
 		if err != nil {
-			s.fleetRevision.Store(0)
+			// The store may have dropped the history since the revision, so that it has to be read completely. A store reader
+			// that answers meanwhile gives the changes since that revision as well.
+			incomplete = true
 			pause.For(ctx, backoff.Next())
 			continue
 		}
@@ -220,13 +265,13 @@
 	}
 }
 
-// readFleet reads all instances and owners from the store.
-func (s *storeSync) readFleet(ctx context.Context, backoff *pause.Backoff) {
+// readFleet reads all instances and owners from the store, and reports whether the store answered.
+func (s *storeSync) readFleet(ctx context.Context, backoff *pause.Backoff) bool {
 	n := s.node
 	items, revision, err := n.store.Range(ctx, fleetPrefix)
 	if err != nil {
 		pause.For(ctx, backoff.Next())
-		return
+		return false
 	}
 	s.applyFleet(items, revision)
 	n.directory.dropMissing(fleetPrefix, items, revision)
@@ -234,6 +279,7 @@
 	if !slices.ContainsFunc(items, func(item Item) bool { return item.Key == own }) {
 		s.entryPublished.Store(false)
 	}
+	return true
 }
 
 // isOwnerRecord reports whether the item is the record of a database's owner.
