fix: calls to the store are relayed through instances that lately reached it

Change: the store reader that answers this instance, and instances whose relayed calls were answered lately, are asked first. TestHandoverWhileTheStoreServesOnlyReaders fails without the change and passes with it.

--- a/core/cover/ways.go
+++ b/core/cover/ways.go
@@ -18,9 +18,9 @@
 const (
 	// relayFirstPeriod is the time after a failed direct call during which calls are relayed first.
 	relayFirstPeriod = 700 * time.Millisecond
-	// relayPausePeriod is the time after a failed relayed call during which calls are not relayed. Owners renew leases of 10 s
-	// every 1.5 s, so that they still try five ways before a lease ends.
-	relayPausePeriod = 2 * time.Second
+	// relayPausePeriod is the time after a failed relayed call during which calls are not relayed. It is shorter than the 1.5 s
+	// between two renewals of a lease.
+	relayPausePeriod = 1200 * time.Millisecond
 )
 
 // Ways decides on which ways a call to the store is tried; it is safe for concurrent use.
--- a/io/node/handover_test.go
+++ b/io/node/handover_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -73,13 +75,28 @@
 	return s.Store.Put(ctx, key, value, expected)
 }
 
+// refusableCaller makes calls to the store unless the test lets the store refuse them.
+type refusableCaller struct {
+	node.StoreCaller
+	refused *atomic.Bool
+}
+
+func (c refusableCaller) Call(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+	if c.refused.Load() {
+		return http.StatusServiceUnavailable, nil, nil
+	}
+	return c.StoreCaller.Call(ctx, method, path, body)
+}
+
 // testInstance is one instance that the test runs.
 type testInstance struct {
 	*node.Node
 	id           types.InstanceID
 	callers      string
 	disconnected atomic.Bool
-	stopped      bool
+	// refused makes the store refuse the instance's own calls; calls through other instances work.
+	refused atomic.Bool
+	stopped bool
 	// peerReads is the number of reads from connections that other instances opened to this one.
 	peerReads atomic.Int64
 }
@@ -140,7 +157,8 @@
 		Callers: callers, Peers: countingListener{peers, &r.peerReads}, HTTP: ready,
 		NewCallerConn: func(c net.Conn) front.CallerConn { return platform.NewCallerConn(c) },
 		Store: func(relay node.StoreCaller) node.Store {
-			return disconnectableStore{platform.NewStore(direct, nil, &platform.StoreCalls{}), &r.disconnected}
+			store := platform.NewStore(refusableCaller{direct, &r.refused}, relay, &platform.StoreCalls{})
+			return disconnectableStore{store, &r.disconnected}
 		},
 		Formats: platform.Formats(), Dialer: platform.MemberDialer{Instance: r.id},
 		Promoter: platform.Promoter{Address: site.Address(), Instance: r.id}, Clock: clock.Boot(),
@@ -199,6 +217,33 @@
 	}
 }
 
+// TestHandoverWhileTheStoreServesOnlyReaders lets the store refuse all instances but the two store readers, and stops the owner of
+// the database twice. The next owner has to read and write the record through a reader.
+func TestHandoverWhileTheStoreServesOnlyReaders(t *testing.T) {
+	site, err := fakepl.NewPlatform(0)
+	require.NoError(t, err)
+	defer site.Close()
+	site.Configure(1, 1000)
+	all := newDataCentre(t, site, 24)
+	readers := readersOf(all)
+	for _, i := range all {
+		i.refused.Store(!slices.Contains(readers, i))
+	}
+	for range 2 {
+		before := ownerOf(site)
+		var caller string
+		for _, i := range all {
+			if string(i.id) == before {
+				go i.stop()
+			} else if !i.stopped {
+				caller = i.callers
+			}
+		}
+		require.Eventually(t, func() bool { return ownerOf(site) != before }, gracePeriod, 5*time.Millisecond)
+		awaitWrite(t, caller)
+	}
+}
+
 // awaitWrite waits until the instance at the address serves a write.
 func awaitWrite(tb testing.TB, address string) {
 	tb.Helper()
--- a/io/node/peercalls.go
+++ b/io/node/peercalls.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -109,17 +110,17 @@
 	return addresses
 }
 
-// relayAddresses returns the peer addresses of maxRelayPeers other instances, other ones with each call: the store may refuse the
-// ones of an earlier call too.
+// relayAddresses returns the peer addresses of maxRelayPeers other instances: first those through which the store was lately
+// reached, then other ones with each call, since the store may refuse the ones of an earlier call too.
 func (n *Node) relayAddresses() []string {
 	others := n.otherAddresses(len(n.directory.all()) + len(n.settings.Seeds))
-	if len(others) <= maxRelayPeers {
-		return others
-	}
-	start := rand.IntN(len(others))
-	chosen := make([]string, 0, maxRelayPeers)
-	for i := range maxRelayPeers {
-		chosen = append(chosen, others[(start+i)%len(others)])
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	addresses := append(n.storeSync.served.addresses(n.settings.Clock.Now()), others...)
+	var chosen []string
+	for _, address := range addresses {
+		if len(chosen) < maxRelayPeers && !slices.Contains(chosen, address) {
+			chosen = append(chosen, address)
+		}
 	}
 	return chosen
 }
@@ -134,9 +135,10 @@
 
 // relayResult is the answer of an instance that was asked to call the store.
 type relayResult struct {
-	status int
-	body   []byte
-	err    error
+	address string
+	status  int
+	body    []byte
+	err     error
 }
 
 // Call asks one instance, and the next one after relayHedgeDelay or an unusable answer. It does not ask all at once, since each
@@ -161,6 +163,7 @@
 		case answer := <-answers:
 			answered++
 			if answer.err == nil && answer.status != 0 && answer.status != http.StatusServiceUnavailable {
+				n.storeSync.served.record(answer.address, n.settings.Clock.Now())
 				return answer.status, answer.body, nil
 			}
 			if answer.err != nil {
@@ -178,7 +181,7 @@
 		Method: method, Path: path, Body: body,
 	}}})
 	storeReply := reply.GetStoreReply()
-	return relayResult{int(storeReply.GetStatus()), storeReply.GetBody(), err}
+	return relayResult{address, int(storeReply.GetStatus()), storeReply.GetBody(), err}
 }
 
 // serveChannel handles the calls that another instance sends on one channel, until the channel ends.
--- a/io/node/readers.go
+++ b/io/node/readers.go
@@ -83,7 +83,7 @@
 // itself lately. When its copy is not fresh then, the store does not serve the readers.
 func (s *storeSync) leavesStoreToReaders() bool {
 	now := s.node.settings.Clock.Now()
-	return s.readerAnswered.isWithin(readerAnswerPeriod, now) && !s.served.isWithin(servedPeriod, now) && len(s.node.followedReaders()) > 0
+	return s.readerAnswered.isWithin(readerAnswerPeriod, now) && !s.ownServed.isWithin(servedPeriod, now) && len(s.node.followedReaders()) > 0
 }
 
 // awaitTurn waits until this instance may read the store itself, or until a reader has made its copy fresh again. It returns at
@@ -172,6 +172,7 @@
 		n.logger.Debug("store reader gave no usable answer", "reader", reader.ID, "error", err)
 		return false
 	}
+	s.served.record(reader.PeerAddress, n.settings.Clock.Now())
 	s.applyPeerConfiguration(followed.GetConfiguration())
 	items := make([]Item, 0, len(followed.GetItems()))
 	for _, item := range followed.GetItems() {
--- a/io/node/storesync.go
+++ b/io/node/storesync.go
@@ -48,10 +48,12 @@
 	fleetRevision atomic.Uint64
 	// entryPublished is set while the store is known to hold this instance's entry.
 	entryPublished atomic.Bool
-	// served is when the store last answered this instance's own call for the configuration; zero after a call that failed.
+	// ownServed is when the store last answered this instance's own call for the configuration; zero after a call that failed.
 	// readerAnswered is when a store reader last answered a follow request, whether its own copy was fresh or not.
-	served         moment
+	ownServed      moment
 	readerAnswered moment
+	// served are the instances through which the store was lately reached.
+	served *servedInstances
 }
 
 // moment is a moment that several goroutines use; zero is longer ago than any period.
@@ -67,7 +69,7 @@
 }
 
 func newStoreSync(n *Node) *storeSync {
-	return &storeSync{node: n, freshness: cover.New(n.settings.Clock)}
+	return &storeSync{node: n, freshness: cover.New(n.settings.Clock), served: newServedInstances()}
 }
 
 // newBackoff returns the delays after consecutive failed calls.
@@ -148,7 +150,7 @@
 	if err != nil {
 		sent = 0
 	}
-	s.served.set(sent)
+	s.ownServed.set(sent)
 }
 
 // logStoreState logs that the store has become available or unavailable.
