perf: store readers hand owners and standbys the read that renews their leases

Change: a follower names the databases that it holds; its store reader answers with the revisions of their records in a complete read that is at most 0.9 s old, and with that read's age. The lease counts from the sending of the reader's read, at the latest (cover.HandedOn), so that what a suspended reader or a slow network hands on can only shorten it: a promotion, which waits for LeaseDuration after a change of the record, stays as safe as before.

--- a/core/cover/freshness.go
+++ b/core/cover/freshness.go
@@ -41,9 +41,14 @@
 // the request for the duration held, and its own configuration then had the given age. The time that the messages took on
 // the network counts as age.
 func (f *Freshness) RecordPeer(sent clock.Moment, held, age time.Duration) {
-	f.record(sent.Add(held - age))
+	f.record(HandedOn(sent, held, age))
 }
 
+// HandedOn returns a moment that is no later than the sending of a read of the store that another instance handed on: in the answer
+// to a request that was sent here at the given moment and that the other instance held for the duration held. Its read had the given
+// age when it answered. Time that the answer was on its way, or that either machine was suspended, counts as age.
+func HandedOn(sent clock.Moment, held, age time.Duration) clock.Moment { return sent.Add(held - age) }
+
 // record keeps the latest time.
 func (f *Freshness) record(at clock.Moment) {
 	f.mu.Lock()
--- a/core/cover/freshness_test.go
+++ b/core/cover/freshness_test.go
@@ -63,3 +63,26 @@
 	again, _ := f.Age()
 	require.Equal(t, age, again, "an older answer changes nothing")
 }
+
+// TestHandedOnReadIsNeverYoungerThanItWas lets a reader read the store, and suspends machines or delays messages at each later step.
+func TestHandedOnReadIsNeverYoungerThanItWas(t *testing.T) {
+	for name, test := range map[string]struct {
+		requestTook, readToAnswer, answerTook time.Duration
+	}{
+		"no delay":                                  {0, 0, 0},
+		"reader suspended before it answers":        {0, 4 * time.Second, 0},
+		"answer delayed":                            {0, 0, 3 * time.Second},
+		"request delayed":                           {2 * time.Second, 0, 0},
+		"read long before the request, all delayed": {time.Second, 5 * time.Second, time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			read := clock.Moment(time.Hour)
+			const heldBeforeRead = 300 * time.Millisecond
+			sent := read.Add(-heldBeforeRead - test.requestTook)
+			held := heldBeforeRead + test.readToAnswer
+			handedOn := cover.HandedOn(sent, held, test.readToAnswer)
+			require.LessOrEqual(t, handedOn, read)
+			require.Equal(t, test.requestTook, read.Sub(handedOn))
+		})
+	}
+}
--- a/core/cover/ownread.go
+++ b/core/cover/ownread.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// ownReadInterval is the time between the first own reads of two followers of a data centre: together they read the store 16
+	// ownReadInterval is the time between the first own reads of two followers of a data centre: together they read the store 12
 	// times a second, so that a follower among ten has read it within the second that freshness leaves.
-	ownReadInterval = time.Second / 16
+	ownReadInterval = time.Second / 12
 	// minOwnReadDelay is the shortest time between two own reads of one follower that failed.
 	minOwnReadDelay = 250 * time.Millisecond
 )
--- a/io/check/platform_test.go
+++ b/io/check/platform_test.go
@@ -299,8 +299,11 @@
 	s.requireExactlyOnce(t, writers)
 	require.Empty(t, s.Group.PromotionTokens())
 	require.NotEqual(t, owner, s.owner())
+	// Three probes of 350 ms with 80 ms between them must fail before a primary counts as dead. The handover needs only two, while
+	// other instances are asked.
+	const deathTime = 3*350*time.Millisecond + 2*80*time.Millisecond
 	for _, w := range writers {
-		require.Less(t, w.longestGap, 3*time.Second)
+		require.Less(t, w.longestGap, deathTime)
 	}
 }
 
--- a/io/node/directory.go
+++ b/io/node/directory.go
@@ -183,6 +183,19 @@
 	return false
 }
 
+// heldDatabases returns the databases whose owner record names this instance as the owner or the standby.
+func (d *directory) heldDatabases() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var held []string
+	for database, record := range d.owners {
+		if record.IsOwnedBy(d.self) || record.HasStandby(d.self) {
+			held = append(held, string(database))
+		}
+	}
+	return held
+}
+
 // instance returns an instance's entry, and whether there is one.
 func (d *directory) instance(id types.InstanceID) (fleet.Instance, bool) {
 	d.mu.Lock()
--- a/io/node/ownershipmanager.go
+++ b/io/node/ownershipmanager.go
@@ -30,6 +30,11 @@
 type ownershipManager struct {
 	node     *Node
 	detector *failureDetector
+	records  *recordsReader
+	// renewedFromReader is the sending of the last read of a store reader that renewed all leases of this instance.
+	// lastRenewal is when this instance last began to renew them itself.
+	renewedFromReader moment
+	lastRenewal       moment
 
 	mu         sync.Mutex
 	byDatabase map[types.DatabaseID]*ownership
@@ -50,7 +55,7 @@
 
 func newOwnershipManager(n *Node) *ownershipManager {
 	return &ownershipManager{
-		node: n, detector: newFailureDetector(n), byDatabase: map[types.DatabaseID]*ownership{},
+		node: n, detector: newFailureDetector(n), records: &recordsReader{node: n}, byDatabase: map[types.DatabaseID]*ownership{},
 		ownerlessSince: map[types.DatabaseID]clock.Moment{}, members: map[types.DatabaseID][]routes.Member{},
 		standbyRenewals: map[types.DatabaseID]standbyRenewal{}, receivedMembers: map[types.DatabaseID][]routes.Member{},
 		fencedEpochs: map[types.DatabaseID]types.Epoch{},
@@ -58,9 +63,9 @@
 }
 
 // run reconciles the ownerships at each change of the directory and at least every reconcileInterval. While this instance is
-// an owner or a standby it also renews the leases.
+// an owner or a standby it also keeps the leases renewed.
 func (m *ownershipManager) run(ctx context.Context) {
-	renewTicker := time.NewTicker(renewInterval)
+	renewTicker := time.NewTicker(renewalCheckInterval)
 	defer renewTicker.Stop()
 	reconcileTicker := time.NewTicker(reconcileInterval)
 	defer reconcileTicker.Stop()
@@ -173,34 +178,6 @@
 	return err == nil
 }
 
-// renewLeases reads all owner records and renews the leases of the databases whose record names this instance as the owner or
-// the standby.
-func (m *ownershipManager) renewLeases(ctx context.Context) {
-	n := m.node
-	sent := n.settings.Clock.Now()
-	items, revision, err := n.store.Range(ctx, ownersPrefix)
-	if err != nil {
-		n.logger.Warn("leases not renewed", "error", err)
-		return
-	}
-	for _, item := range items {
-		n.directory.apply(item)
-		database := types.DatabaseID(strings.TrimPrefix(item.Key, ownersPrefix))
-		owned := m.get(database)
-		record, err := hold.Decode(item.Value)
-		if err != nil {
-			continue
-		}
-		if owned != nil && record.IsOwnedBy(n.settings.Self) {
-			owned.renew(ownerRecord{record, item.Revision}, sent)
-		}
-		if record.HasStandby(n.settings.Self) {
-			m.renewStandby(database, owned, standbyRenewal{types.Epoch(item.Revision), sent})
-		}
-	}
-	n.directory.dropMissing(ownersPrefix, items, revision)
-}
-
 // close ends all ownerships at once.
 func (m *ownershipManager) close() {
 	m.mu.Lock()
--- a/io/node/readers.go
+++ b/io/node/readers.go
@@ -20,6 +20,9 @@
 	followTimeout      = 700 * time.Millisecond
 	// followAnswerMargin is how long after the end of followTimeout the answer may still arrive.
 	followAnswerMargin = 400 * time.Millisecond
+	// recordsMaxAge is the age up to which a store reader hands on a read of the owner records. With the time that it holds a
+	// request, leases are then renewed from reads that are at most 1.6 s old.
+	recordsMaxAge = 900 * time.Millisecond
 	// readersInterval is the time between two checks whether the data centre has store readers, and followRetryDelay the delay
 	// before the next request when a reader did not answer or cannot send its configuration.
 	readersInterval  = 500 * time.Millisecond
@@ -162,7 +165,7 @@
 	n := s.node
 	sent := n.settings.Clock.Now()
 	reply, err := n.exchange(time.Now().Add(followTimeout+followAnswerMargin), channel, &wire.Call{Kind: &wire.Call_Follow{Follow: &wire.Follow{
-		FleetRevision: s.fleetRevision.Load(), WaitMs: uint32(followTimeout.Milliseconds()),
+		FleetRevision: s.fleetRevision.Load(), WaitMs: uint32(followTimeout.Milliseconds()), Held: n.directory.heldDatabases(),
 	}}})
 	followed := reply.GetFollowed()
 	if err == nil && followed != nil {
@@ -186,11 +189,14 @@
 		// read that configuration from the store. The pause limits the rate of these requests.
 		return pause.For(ctx, followRetryDelay)
 	}
-	held, age := time.Duration(followed.GetHeldMs())*time.Millisecond, time.Duration(followed.GetAgeMs())*time.Millisecond
+	held, age := milliseconds(followed.GetHeldMs()), milliseconds(followed.GetAgeMs())
 	s.freshness.RecordPeer(sent, held, age)
+	n.ownerships.renewFromReader(followed.GetRecords(), cover.HandedOn(sent, held, milliseconds(followed.GetRecordsAgeMs())))
 	return true
 }
 
+func milliseconds(count uint32) time.Duration { return time.Duration(count) * time.Millisecond }
+
 // serveFollow answers a follower's request when there is a change, or when the request's waiting time ends. The version is that
 // of the follower's configuration.
 func (s *storeSync) serveFollow(request *wire.Follow, version int64) *wire.Followed {
@@ -206,13 +212,36 @@
 			Key: item.Key, Value: item.Value, Revision: uint64(item.Revision), Deleted: item.Deleted,
 		})
 	}
+	s.addRecords(answer, request.GetHeld())
 	age, _ := s.freshness.Age()
 	answer.Covered = s.freshness.Remaining() > 0
-	answer.AgeMs = uint32((age + time.Millisecond - 1).Milliseconds())
+	answer.AgeMs = ageMilliseconds(age)
 	answer.HeldMs = uint32(n.settings.Clock.Since(received).Milliseconds())
 	return answer
 }
 
+// addRecords adds the revisions of the owner records of the held databases to the answer, when the store serves this instance.
+func (s *storeSync) addRecords(answer *wire.Followed, held []string) {
+	if len(held) == 0 {
+		return
+	}
+	reading, found := s.node.ownerships.records.forFollower()
+	if !found {
+		return
+	}
+	for _, database := range held {
+		if revision, found := reading.revisions[types.DatabaseID(database)]; found {
+			answer.Records = append(answer.Records, &wire.RecordRevision{Database: database, Revision: uint64(revision)})
+		}
+	}
+	answer.RecordsAgeMs = ageMilliseconds(s.node.settings.Clock.Since(reading.sent))
+}
+
+// ageMilliseconds rounds an age up, so that nothing counts as younger than it is.
+func ageMilliseconds(age time.Duration) uint32 {
+	return uint32((age + time.Millisecond - 1).Milliseconds())
+}
+
 // awaitChange waits for a configuration newer than the version, or for changes of instances or owners. It waits at most as long
 // as the request says, and at most followTimeout.
 func (s *storeSync) awaitChange(request *wire.Follow, version int64) {
--- a/io/node/storeaway_test.go
+++ b/io/node/storeaway_test.go
@@ -24,7 +24,7 @@
 	time.Sleep(outage)
 	calls := float64(site.Store.Calls()-before) / outage.Seconds()
 	t.Logf("%.1f calls to the store per second", calls)
-	// The followers read the store 16 times a second together, the two readers, the owner and its standby a few times. When each
+	// The followers read the store 12 times a second together, the two readers, the owner and its standby a few times. When each
 	// follower reads the configuration and the fleet by itself, at least once a second, they alone make 80.
 	require.Less(t, calls, 30.0)
 	site.Store.ForceStatus(0)
