fix: a planned stop hands a database over after a write of its record that failed

Cause: handOverTo answered true when the write of the next owner failed, so that a planned stop took the database for handed over and ended; the others had to find the owner dead first. Change: it answers whether the record names another owner, and reads the record again after a failed write, whose answer may have been lost. The stop tries on within the grace period until the database has another owner. Test: TestPlannedStopHandsOverAfterRefusedWrites, seen failing on the code before (the record still named the stopped owner), passes.

--- a/io/node/handover.go
+++ b/io/node/handover.go
@@ -48,8 +48,7 @@
 }
 
 // handOverAll hands all databases over to other instances. A database that no other instance can take yet is still served
-// here. It returns when each database has been handed over or the write of its new owner has failed, when there is no other
-// instance, or when the node ends.
+// here. It returns when each database has got another owner, when there is no other instance, or when the node ends.
 func (m *ownershipManager) handOverAll() {
 	m.mu.Lock()
 	m.leaving = true
@@ -62,7 +61,7 @@
 	for _, owned := range all {
 		handovers.Go(func() {
 			primary, _ := owned.group.Primary()
-			for !m.handOver(m.node.ctx, owned, primary.DataCentre) {
+			for m.get(owned.database) == owned && !m.handOver(m.node.ctx, owned, primary.DataCentre) {
 				if len(m.node.directory.all()) < 2 || !pause.For(m.node.ctx, handOverRetryDelay) {
 					return
 				}
@@ -118,8 +117,8 @@
 	return known && m.handOverTo(ctx, owned, instance)
 }
 
-// handOverTo writes the instance into the record as the next owner if it can take over. It reports whether the instance can,
-// also when the write fails. An instance that does not reach the store would not learn that it owns the database.
+// handOverTo writes the instance into the record as the next owner if it can take over, and reports whether the store holds that
+// record. An instance that does not reach the store would not learn that it owns the database.
 func (m *ownershipManager) handOverTo(ctx context.Context, owned *ownership, next fleet.Instance) bool {
 	n := m.node
 	if !n.sendOffer(ctx, next, owned.database, false) {
@@ -128,7 +127,10 @@
 	stored, err := owned.putRecord(ctx, owned.current().handedTo(next))
 	n.logger.Info("database handover attempted", "database", owned.database, "to", next.ID, "error", err)
 	if err != nil {
-		return true
+		// A write whose answer was lost may have taken effect; the record then names its owner.
+		m.rereadRecord(ctx, owned.database)
+		record, known := n.directory.owner(owned.database)
+		return known && record.revision > owned.current().revision && !record.IsOwnedBy(n.settings.Self)
 	}
 	n.sendOffer(ctx, next, owned.database, true)
 	n.directory.apply(stored)
--- a/io/node/handover_test.go
+++ b/io/node/handover_test.go
@@ -244,6 +244,22 @@
 	}
 }
 
+// TestPlannedStopHandsOverAfterRefusedWrites stops the owner while the store refuses writes, and lets it accept them again within the
+// grace period. The record must name another owner when the stop ends, so that nobody has to find the owner dead.
+func TestPlannedStopHandsOverAfterRefusedWrites(t *testing.T) {
+	site, err := fakepl.NewPlatform(0)
+	require.NoError(t, err)
+	defer site.Close()
+	site.Configure(1, 1000)
+	all := newDataCentre(t, site, 3)
+	before := ownerOf(site)
+	owner := all[slices.IndexFunc(all, func(i *testInstance) bool { return string(i.id) == before })]
+	site.Store.RefuseWrites(true)
+	time.AfterFunc(gracePeriod/4, func() { site.Store.RefuseWrites(false) })
+	owner.stop()
+	require.NotEqual(t, before, ownerOf(site))
+}
+
 // awaitWrite waits until the instance at the address serves a write.
 func awaitWrite(tb testing.TB, address string) {
 	tb.Helper()
