fix: a promotion waits when the owner record lacks former owners

Cause: the record lists eight former owners and standbys, two a change; in a fleet whose instances stop in turn one that may still work drops out, and a promotion neither asks it to stop nor waits for it. Change: the record says when it lacks some (formerOmitted); a promotion then waits until their leases have ended. An owner that has held the database for longer than a lease hands it over without former owners, so that the list does not fill up. Test: TestRecordSaysWhenItLacksFormerOwners; without the change the tenth owner's record names eight and says nothing.

--- a/core/hold/lease_test.go
+++ b/core/hold/lease_test.go
@@ -9,6 +9,7 @@
 	"turmericpulley/core/clock"
 	"turmericpulley/core/fleet"
 	"turmericpulley/core/hold"
+	"turmericpulley/core/types"
 )
 
 // TestLeaseExpiresWhileMachineIsSuspended advances the clock without any activity of the process, as a suspension does.
@@ -80,3 +81,18 @@
 	require.Len(t, next.Former, 2, "the standby might still work as well")
 	require.Nil(t, next.Standby)
 }
+
+// TestRecordSaysWhenItLacksFormerOwners moves a database more often than the record has room for, as in a fleet whose instances are
+// stopped in turn. The owner that is no longer listed might still work.
+func TestRecordSaysWhenItLacksFormerOwners(t *testing.T) {
+	r := hold.Record{}
+	for n := range 9 {
+		r = r.WithOwner(fleet.Instance{ID: types.InstanceID(rune('a' + n)), Incarnation: 1})
+	}
+	require.Len(t, r.Former, 8)
+	require.False(t, r.FormerOmitted)
+	r = r.WithOwner(fleet.Instance{ID: "z", Incarnation: 1})
+	require.True(t, r.FormerOmitted)
+	require.True(t, r.WithOwner(fleet.Instance{ID: "y", Incarnation: 1}).FormerOmitted, "the next owner has to know as well")
+	require.False(t, r.WithoutFormer().FormerOmitted)
+}
--- a/core/hold/record.go
+++ b/core/hold/record.go
@@ -20,6 +20,9 @@
 	Owner
 	// Former lists earlier owners and standbys that might still work for the database, the newest first.
 	Former []Owner `json:"former,omitempty"`
+	// FormerOmitted is set when Former lacks some of them. A promotion then has to wait for the end of all leases that they may
+	// still have.
+	FormerOmitted bool `json:"formerOmitted,omitempty"`
 	// Standby is the instance that may work in place of a dead owner without asking the store; nil when none is designated.
 	Standby *Owner `json:"deputy,omitempty"`
 	// Promotion is the last promotion that an owner intended; the owner records it before it asks for the promotion.
@@ -32,8 +35,7 @@
 	Term   types.Term     `json:"term"`
 }
 
-// maxFormerOwners bounds Record.Former; the oldest entries are dropped. After several changes of ownership within LeaseDuration
-// the record may lack an owner or standby that might still work, and a promotion does not wait for that one.
+// maxFormerOwners bounds Record.Former; the oldest entries are dropped and FormerOmitted is set.
 const maxFormerOwners = 8
 
 // Decode reads a record from the store's value.
@@ -62,15 +64,26 @@
 // WithOwner returns the record with a new owner and without a standby. The old owner and its standby join Former. Earlier
 // runs of the new owner's own instance are left out, because they have ended.
 func (r Record) WithOwner(next fleet.Instance) Record {
-	updated := Record{Owner: Owner{next.ID, next.Incarnation}, Promotion: r.Promotion}
+	updated := Record{Owner: Owner{next.ID, next.Incarnation}, Promotion: r.Promotion, FormerOmitted: r.FormerOmitted}
 	former := append([]Owner{r.Owner}, r.Former...)
 	if r.Standby != nil {
 		former = append([]Owner{*r.Standby}, former...)
 	}
 	for _, f := range former {
-		if f.Instance != "" && f.Instance != next.ID && len(updated.Former) < maxFormerOwners {
+		switch {
+		case f.Instance == "" || f.Instance == next.ID:
+		case len(updated.Former) < maxFormerOwners:
 			updated.Former = append(updated.Former, f)
+		default:
+			updated.FormerOmitted = true
 		}
 	}
 	return updated
 }
+
+// WithoutFormer returns the record without former owners. It is for an owner that has held the database for longer than
+// LeaseDuration, when the leases of all former owners and standbys have ended.
+func (r Record) WithoutFormer() Record {
+	r.Former, r.FormerOmitted = nil, false
+	return r
+}
--- a/io/node/ownership.go
+++ b/io/node/ownership.go
@@ -56,18 +56,26 @@
 		return false
 	}
 	o.mu.Lock()
-	acquired, former := o.acquired, o.record.Former
+	record := o.record
 	o.mu.Unlock()
-	if o.node.settings.Clock.Since(acquired) > hold.LeaseDuration {
+	if o.formerLeasesEnded() {
 		return true
 	}
-	allStopped := true
-	for _, owner := range former {
+	allStopped := !record.FormerOmitted
+	for _, owner := range record.Former {
 		allStopped = o.fence(ctx, owner) && allStopped
 	}
 	return allStopped
 }
 
+// formerLeasesEnded reports whether this instance has owned the database for so long that no lease of a former owner or standby
+// lasts any more.
+func (o *ownership) formerLeasesEnded() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.acting && o.node.settings.Clock.Since(o.acquired) > hold.LeaseDuration
+}
+
 // fence asks a former owner to stop, unless it is known to have stopped, and reports whether it has.
 func (o *ownership) fence(ctx context.Context, former hold.Owner) bool {
 	o.mu.Lock()
@@ -102,7 +110,8 @@
 // the database any more.
 func (o *ownership) RecordPromotion(ctx context.Context, promotion hold.Promotion) (types.Epoch, error) {
 	next := o.current()
-	next.Promotion, next.Former, next.Standby = &promotion, nil, nil
+	next.Record = next.WithoutFormer()
+	next.Promotion, next.Standby = &promotion, nil
 	sent := o.node.settings.Clock.Now()
 	if err := o.writeRecord(ctx, next, sent); err != nil {
 		return 0, err
