fix: the demo and the tests of io/server take ports that nobody else takes

The demo reserved ephemeral ports for its instances, closed them and opened them again. io/server's tests chose ports that other test programs reserve. Change: the demo's instances listen on any free port, and each gets the addresses of those before it as seeds; io/server's tests take their ports from io/check.

--- a/io/demo/system.go
+++ b/io/demo/system.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 
 	"github.com/pkg/errors"
 
@@ -99,19 +98,16 @@
 	return errors.Wrapf(err, "encoding %s", key)
 }
 
-// startInstances starts the instances; each gets the peer addresses of all instances as its seeds.
+// startInstances starts the instances; each gets the peer addresses of those before it as its seeds.
 func (s *system) startInstances() error {
-	seeds, err := freeAddresses(instanceCount)
-	if err != nil {
-		return err
-	}
-	for i, seed := range seeds {
+	var seeds []string
+	for i := range instanceCount {
 		instance, err := server.New(server.Settings{
 			ID:             types.InstanceID(fmt.Sprintf("instance-%d", i+1)),
 			Region:         region,
 			DataCentre:     dataCentre(i),
 			CallersAddress: anyPortAddress,
-			PeersAddress:   seed,
+			PeersAddress:   anyPortAddress,
 			HTTPAddress:    anyPortAddress,
 			Platform:       s.platform.URL(),
 			Seeds:          seeds,
@@ -120,26 +116,13 @@
 			return errors.Wrapf(err, "starting instance %d", i+1)
 		}
 		s.instances = append(s.instances, instance)
+		seeds = append(seeds, instance.PeersAddress())
 	}
 	return nil
 }
 
 func dataCentre(i int) types.DataCentre { return types.DataCentre(fmt.Sprintf("slo-%c", 'a'+i)) }
 
-// freeAddresses returns addresses with ports that were free during the call.
-func freeAddresses(count int) ([]string, error) {
-	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", anyPortAddress)
-		if err != nil {
-			return nil, errors.Wrap(err, "reserving a port")
-		}
-		defer func() { _ = listener.Close() }()
-		addresses = append(addresses, listener.Addr().String())
-	}
-	return addresses, nil
-}
-
 // withAddresses fills in the addresses of the instances, the names of the databases and the ReadCounter.
 func (s *system) withAddresses(settings load.Settings) load.Settings {
 	counter := load.MetricsCounter{}
--- a/io/server/fleet_test.go
+++ b/io/server/fleet_test.go
@@ -4,9 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
-	"os"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -130,25 +127,10 @@
 	return string(text)
 }
 
-// nextPort is the offset of the next port. The ports lie below the range that the system uses for outgoing connections.
-var nextPort atomic.Int32
-
-const firstPort, portCount = 20000, 12000
-
-// freeAddress returns a free address that no other test of this process gets.
+// freeAddress returns a free address that no other test gets, in this test process or another.
 func freeAddress(tb testing.TB) string {
 	tb.Helper()
-	for range portCount {
-		port := firstPort + (os.Getpid()*64+int(nextPort.Add(1)))%portCount
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			continue
-		}
-		require.NoError(tb, l.Close())
-		return l.Addr().String()
-	}
-	require.FailNow(tb, "no port is free")
-	return ""
+	return check.NewAddresses(tb, 1)[0]
 }
 
 // owner returns the instance that owns the database.
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -72,6 +72,9 @@
 // CallersAddress returns the address to which callers connect.
 func (v *Server) CallersAddress() string { return v.callers.Address().String() }
 
+// PeersAddress returns the address to which other instances connect.
+func (v *Server) PeersAddress() string { return v.peers.Address() }
+
 // HTTPAddress returns the address of the HTTP listener for operators.
 func (v *Server) HTTPAddress() string { return v.http.Address() }
 
