--- a/io/group/failover.go
+++ b/io/group/failover.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"turmericpulley/core/clock"
-	"turmericpulley/core/pause"
 	"turmericpulley/core/routes"
 	"turmericpulley/core/stmt"
 	"turmericpulley/core/types"
@@ -16,6 +15,8 @@
 	group *Group
 	// lostAt is the moment since which no primary has been active; zero while one is.
 	lostAt clock.Moment
+	// soughtAt is when other instances were last asked for a primary that this one has not reached yet.
+	soughtAt clock.Moment
 	// queriedAt is when the status of each member was last queried.
 	queriedAt map[types.TargetID]clock.Moment
 }
@@ -47,7 +48,7 @@
 		return
 	}
 	member, listed := g.member(primary)
-	switch suspected := g.takeSuspected(); {
+	switch suspected := g.takeSuspected(primary); {
 	case suspected == primary || !listed:
 		c.verifyPrimary(ctx, primary)
 	case member.Leaving:
@@ -59,12 +60,23 @@
 	}
 }
 
-func (g *Group) takeSuspected() types.TargetID {
+// takeSuspected returns a suspected member that is no longer recorded as suspected then, the primary before all others; empty
+// when there is none. The controller is woken again for those that remain.
+func (g *Group) takeSuspected(primary types.TargetID) types.TargetID {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	suspected := g.suspected
-	g.suspected = ""
-	return suspected
+	next := primary
+	if !g.suspected[primary] {
+		next = ""
+		for target := range g.suspected {
+			next = target
+		}
+	}
+	delete(g.suspected, next)
+	if len(g.suspected) > 0 {
+		g.wakeController()
+	}
+	return next
 }
 
 // missingPrimaryTimeout is how long the primary may be missing before another member is promoted. A change of owner during
@@ -89,6 +101,12 @@
 		c.openPrimary(best)
 		return
 	}
+	if m, silent := silentPrimary(observations); silent && g.settings.Clock.Since(c.soughtAt) > missingPrimaryTimeout {
+		c.soughtAt = g.settings.Clock.Now()
+		if c.handOver(ctx, m, c.searchWitnesses(ctx, m)) {
+			return
+		}
+	}
 	timeout := missingPrimaryTimeout
 	if g.currentTerm() == 0 {
 		timeout = firstPrimaryTimeout
@@ -151,63 +169,6 @@
 		"epoch", g.settings.Ownership.Lease().Epoch())
 }
 
-// verifyAttempts is the number of probes over new connections that must fail before a primary counts as dead.
-const verifyAttempts = 3
-
-// verifyRetryDelay is the time between two of these probes; it matters when they fail immediately.
-const verifyRetryDelay = 80 * time.Millisecond
-
-// verifyPrimary probes a suspected primary. When all probes fail, it hands the database over to an instance that reaches
-// the primary, or replaces the primary if there is none. It replaces a primary that is no longer listed without probing it.
-func (c *failoverController) verifyPrimary(ctx context.Context, primary types.TargetID) {
-	g := c.group
-	member, listed := g.member(primary)
-	if !listed {
-		g.logger.Warn("primary no longer listed", "member", primary)
-		g.scheduler.SuspendPrimary(expectedPromotionTime)
-		c.replacePrimary(ctx, failover)
-		return
-	}
-	var lastErr error
-	for attempt := range verifyAttempts {
-		if attempt > 0 && !pause.For(ctx, verifyRetryDelay) {
-			return
-		}
-		observed := g.probe(ctx, member, stmt.Statement{Kind: stmt.Status})
-		if observed.err == nil {
-			c.handlePrimaryStatus(ctx, observed)
-			return
-		}
-		if observed.isBusy() {
-			return
-		}
-		lastErr = observed.err
-	}
-	g.logger.Warn("primary dead", "member", primary, "reason", lastErr)
-	g.scheduler.SuspendPrimary(expectedPromotionTime)
-	if c.handOver(ctx, member) {
-		return
-	}
-	g.settings.RefreshMembers()
-	c.replacePrimary(ctx, failover)
-}
-
-// handOver hands the database over to an instance that still reaches the primary. A network failure between this instance
-// and the primary then costs neither a promotion nor the commits that no replica has received.
-func (c *failoverController) handOver(ctx context.Context, primary routes.Member) bool {
-	g := c.group
-	if g.settings.Witness == nil {
-		return false
-	}
-	to, found := g.settings.Witness(ctx, primary, g.currentTerm())
-	if !found {
-		return false
-	}
-	g.logger.Info("primary reached by another instance", "member", primary.Target, "witness", to)
-	g.settings.HandOver(ctx, to)
-	return true
-}
-
 // handlePrimaryStatus handles the status of a suspected primary that answered.
 func (c *failoverController) handlePrimaryStatus(ctx context.Context, observed observation) {
 	g := c.group
--- a/io/node/directory.go
+++ b/io/node/directory.go
@@ -183,6 +183,19 @@
 	return false
 }
 
+// heldDatabases returns the databases whose owner record names this instance as the owner or the standby.
+func (d *directory) heldDatabases() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var held []string
+	for database, record := range d.owners {
+		if record.IsOwnedBy(d.self) || record.HasStandby(d.self) {
+			held = append(held, string(database))
+		}
+	}
+	return held
+}
+
 // instance returns an instance's entry, and whether there is one.
 func (d *directory) instance(id types.InstanceID) (fleet.Instance, bool) {
 	d.mu.Lock()
@@ -234,6 +247,22 @@
 	return d.localReaders
 }
 
+// localPosition returns how many instances of this one's data centre come before it by id, and how many there are in all.
+func (d *directory) localPosition() (position, count int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, i := range d.instances {
+		if i.DataCentre != d.self.DataCentre {
+			continue
+		}
+		count++
+		if i.ID < d.self.ID {
+			position++
+		}
+	}
+	return position, count
+}
+
 // nextChange returns a channel that is closed at the next change or call of wake.
 func (d *directory) nextChange() <-chan struct{} {
 	d.mu.Lock()
--- a/io/node/peercalls.go
+++ b/io/node/peercalls.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -108,6 +110,21 @@
 	return addresses
 }
 
+// relayAddresses returns the peer addresses of maxRelayPeers other instances: first those through which the store was lately
+// reached, then other ones with each call, since the store may refuse the ones of an earlier call too.
+func (n *Node) relayAddresses() []string {
+	others := n.otherAddresses(len(n.directory.all()) + len(n.settings.Seeds))
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	addresses := append(n.storeSync.served.addresses(n.settings.Clock.Now()), others...)
+	var chosen []string
+	for _, address := range addresses {
+		if len(chosen) < maxRelayPeers && !slices.Contains(chosen, address) {
+			chosen = append(chosen, address)
+		}
+	}
+	return chosen
+}
+
 // relay sends calls to the store through other instances. It implements StoreCaller.
 type relay struct {
 	node *Node
@@ -118,16 +135,17 @@
 
 // relayResult is the answer of an instance that was asked to call the store.
 type relayResult struct {
-	status int
-	body   []byte
-	err    error
+	address string
+	status  int
+	body    []byte
+	err     error
 }
 
 // Call asks one instance, and the next one after relayHedgeDelay or an unusable answer. It does not ask all at once, since each
 // call to the store has a cost. It returns the first usable answer.
 func (r *relay) Call(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
 	n := r.node
-	addresses := n.otherAddresses(maxRelayPeers)
+	addresses := n.relayAddresses()
 	answers := make(chan relayResult, len(addresses))
 	lastErr := errors.New("no other instance is known that could relay the call")
 	asked, answered := 0, 0
@@ -145,6 +163,7 @@
 		case answer := <-answers:
 			answered++
 			if answer.err == nil && answer.status != 0 && answer.status != http.StatusServiceUnavailable {
+				n.storeSync.served.record(answer.address, n.settings.Clock.Now())
 				return answer.status, answer.body, nil
 			}
 			if answer.err != nil {
@@ -162,7 +181,7 @@
 		Method: method, Path: path, Body: body,
 	}}})
 	storeReply := reply.GetStoreReply()
-	return relayResult{int(storeReply.GetStatus()), storeReply.GetBody(), err}
+	return relayResult{address, int(storeReply.GetStatus()), storeReply.GetBody(), err}
 }
 
 // serveChannel handles the calls that another instance sends on one channel, until the channel ends.
--- a/io/node/storesync.go
+++ b/io/node/storesync.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
-	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 
+	"turmericpulley/core/clock"
 	"turmericpulley/core/cover"
-	"turmericpulley/core/fault"
 	"turmericpulley/core/pause"
 	"turmericpulley/core/types"
 	"turmericpulley/io/wire"
@@ -47,10 +44,16 @@
 	fleetRevision atomic.Uint64
 	// entryPublished is set while the store is known to hold this instance's entry.
 	entryPublished atomic.Bool
+	// ownServed is when the store last answered this instance's own call for the configuration; zero after a call that failed.
+	// readerAnswered is when a store reader last answered a follow request, whether its own copy was fresh or not.
+	ownServed      moment
+	readerAnswered moment
+	// served are the instances through which the store was lately reached.
+	served *servedInstances
 }
 
 func newStoreSync(n *Node) *storeSync {
-	return &storeSync{node: n, freshness: cover.New(n.settings.Clock)}
+	return &storeSync{node: n, freshness: cover.New(n.settings.Clock), served: newServedInstances()}
 }
 
 // newBackoff returns the delays after consecutive failed calls.
@@ -61,18 +64,25 @@
 	n := s.node
 	var after types.Revision
 	available := true
+	failures := 0
 	backoff := newBackoff()
 	for ctx.Err() == nil {
 		if s.waitWhileFresh(ctx, cover.MaxAge) {
-			after = 0
+			after, failures = 0, 0
 			continue
 		}
 		if after == 0 {
-			after = s.readConfiguration(ctx, &available, backoff)
+			if s.awaitTurn(ctx, failures); s.isFresh() {
+				continue
+			}
+			if after = s.readConfiguration(ctx, &available, backoff); after == 0 {
+				failures++
+			}
 			continue
 		}
 		sent, wait := n.settings.Clock.Now(), s.watchTimeout()
 		items, next, err := n.store.Watch(ctx, n.settings.Formats.ConfigurationPrefix, after, wait)
+		s.recordServed(sent, err)
 		if err != nil {
 			after = 0
 			pause.For(ctx, backoff.Next())
@@ -95,7 +105,13 @@
 func (s *storeSync) readConfiguration(ctx context.Context, available *bool, backoff *pause.Backoff) types.Revision {
 	n := s.node
 	sent := n.settings.Clock.Now()
-	items, revision, err := n.store.Range(ctx, n.settings.Formats.ConfigurationPrefix)
+	store := n.store
+	if s.leavesStoreToReaders() {
+		// The readers have tried the other ways to the store.
+		store = n.directStore
+	}
+	items, revision, err := store.Range(ctx, n.settings.Formats.ConfigurationPrefix)
+	s.recordServed(sent, err)
 	if err == nil {
 		s.logStoreState(available, true, "")
 		for _, item := range items {
@@ -113,6 +129,14 @@
 	return 0
 }
 
+// recordServed records whether the store answered a call of this instance that was sent at the given time.
+func (s *storeSync) recordServed(sent clock.Moment, err error) {
+	if err != nil {
+		sent = 0
+	}
+	s.ownServed.set(sent)
+}
+
 // logStoreState logs that the store has become available or unavailable.
 func (s *storeSync) logStoreState(available *bool, answers bool, reason string) {
 	if *available == answers {
@@ -186,96 +210,3 @@
 		}
 	}
 }
-
-// followFleet keeps the instances and owners up to date, and this instance's entry in the store.
-func (s *storeSync) followFleet(ctx context.Context) {
-	n := s.node
-	backoff := newBackoff()
-	for ctx.Err() == nil {
-		after := types.Revision(s.fleetRevision.Load())
-		if after == 0 {
-			s.readFleet(ctx, backoff)
-			continue
-		}
-		if !s.entryPublished.Load() {
-			s.entryPublished.Store(s.publishEntry(ctx))
-		}
-		if s.entryPublished.Load() && s.waitWhileFresh(ctx, instanceBatchDelay) {
-			continue
-		}
-		items, next, err := n.store.Watch(ctx, fleetPrefix, after, fleetWatchTimeout)
-		if err != nil {
-			s.fleetRevision.Store(0)
-			pause.For(ctx, backoff.Next())
-			continue
-		}
-		backoff.Reset()
-		s.applyFleet(items, next)
-		switch {
-		case slices.ContainsFunc(items, isOwnerRecord):
-			pause.For(ctx, ownerBatchDelay)
-		case len(items) > 0:
-			pause.For(ctx, instanceBatchDelay)
-		}
-	}
-}
-
-// readFleet reads all instances and owners from the store.
-func (s *storeSync) readFleet(ctx context.Context, backoff *pause.Backoff) {
-	n := s.node
-	items, revision, err := n.store.Range(ctx, fleetPrefix)
-	if err != nil {
-		pause.For(ctx, backoff.Next())
-		return
-	}
-	s.applyFleet(items, revision)
-	n.directory.dropMissing(fleetPrefix, items, revision)
-	own := instanceKey(n.settings.Self.ID)
-	if !slices.ContainsFunc(items, func(item Item) bool { return item.Key == own }) {
-		s.entryPublished.Store(false)
-	}
-}
-
-// isOwnerRecord reports whether the item is the record of a database's owner.
-func isOwnerRecord(item Item) bool { return strings.HasPrefix(item.Key, ownersPrefix) }
-
-// applyFleet applies items that include all changes up to the revision, and records when this instance's entry is gone.
-func (s *storeSync) applyFleet(items []Item, revision types.Revision) {
-	for _, item := range items {
-		if s.node.directory.apply(item) {
-			s.entryPublished.Store(false)
-		}
-	}
-	for known := s.fleetRevision.Load(); uint64(revision) > known && !s.fleetRevision.CompareAndSwap(known, uint64(revision)); {
-		known = s.fleetRevision.Load()
-	}
-}
-
-// publishEntry writes this instance's entry, which holds its address, into the store and reports whether the store holds it.
-func (s *storeSync) publishEntry(ctx context.Context) bool {
-	n := s.node
-	value, err := json.Marshal(n.settings.Self)
-	if err != nil {
-		n.logger.Error("instance entry not written", "error", err)
-		return false
-	}
-	key := instanceKey(n.settings.Self.ID)
-	if _, err = n.store.Put(ctx, key, value, n.directory.revision(key)); err == nil {
-		return true
-	}
-	if failure := fault.From(err); failure == nil || failure.Kind != fault.RevisionConflict {
-		n.logger.Warn("instance entry not written", "error", err)
-		pause.For(ctx, minRetryDelay)
-	}
-	// The known revision of the entry may be out of date, and a write whose answer was lost may have taken effect.
-	present, found, err := n.store.Get(ctx, key)
-	if err != nil {
-		return false
-	}
-	if !found {
-		n.directory.markDeleted(key)
-		return false
-	}
-	n.directory.apply(present)
-	return string(present.Value) == string(value)
-}
