fix: the owner record lists each former instance once

Each move took two places in the record, also for an instance that was listed already or has been restarted since. With formerOmitted, eight moves between a few instances would make every later promotion wait for 10 s, longer than a leaving member may be used (7 s). Change: one entry for each instance, with its latest run; room for sixteen.

--- a/core/hold/record.go
+++ b/core/hold/record.go
@@ -35,8 +35,9 @@
 	Term   types.Term     `json:"term"`
 }
 
-// maxFormerOwners bounds Record.Former; the oldest entries are dropped and FormerOmitted is set.
-const maxFormerOwners = 8
+// maxFormerOwners bounds Record.Former; the oldest entries are dropped and FormerOmitted is set. A promotion asks all of them at
+// once, so that the bound limits its calls.
+const maxFormerOwners = 16
 
 // Decode reads a record from the store's value.
 func Decode(value []byte) (Record, error) {
@@ -61,8 +62,8 @@
 	return r.Standby != nil && r.Standby.Instance == self.ID && r.Standby.Incarnation == self.Incarnation
 }
 
-// WithOwner returns the record with a new owner and without a standby. The old owner and its standby join Former. Earlier
-// runs of the new owner's own instance are left out, because they have ended.
+// WithOwner returns the record with a new owner and without a standby. The old owner and its standby join Former. Only the latest run
+// of each instance is listed, and none of the new owner's own instance, because a run has ended when the next one begins.
 func (r Record) WithOwner(next fleet.Instance) Record {
 	updated := Record{Owner: Owner{next.ID, next.Incarnation}, Promotion: r.Promotion, FormerOmitted: r.FormerOmitted}
 	former := append([]Owner{r.Owner}, r.Former...)
@@ -70,17 +71,28 @@
 		former = append([]Owner{*r.Standby}, former...)
 	}
 	for _, f := range former {
-		switch {
-		case f.Instance == "" || f.Instance == next.ID:
-		case len(updated.Former) < maxFormerOwners:
-			updated.Former = append(updated.Former, f)
-		default:
-			updated.FormerOmitted = true
+		if f.Instance != "" && f.Instance != next.ID {
+			updated.addFormer(f)
 		}
 	}
 	return updated
 }
 
+// addFormer lists a former owner or standby after those that are listed.
+func (r *Record) addFormer(former Owner) {
+	for i, listed := range r.Former {
+		if listed.Instance == former.Instance {
+			r.Former[i].Incarnation = max(listed.Incarnation, former.Incarnation)
+			return
+		}
+	}
+	if len(r.Former) == maxFormerOwners {
+		r.FormerOmitted = true
+		return
+	}
+	r.Former = append(r.Former, former)
+}
+
 // WithoutFormer returns the record without former owners. It is for an owner that has held the database for longer than
 // LeaseDuration, when the leases of all former owners and standbys have ended.
 func (r Record) WithoutFormer() Record {
