--- a/io/peers/failure_test.go
+++ b/io/peers/failure_test.go
@@ -216,7 +216,9 @@
 	c := newCluster(t, 3)
 	from, to := c.services[0], c.services[1]
 	replaced := from.Counters().SessionsReplaced.Load()
-	c.proxy(from.Self().ID, to.Self().PeerAddress).dropTraffic()
+	p := c.proxy(from.Self().ID, to.Self().PeerAddress)
+	require.Eventually(t, p.inUse, eventuallyTimeout, pollInterval)
+	p.dropTraffic()
 	started := time.Now()
 	require.Eventually(t, func() bool { return from.Counters().SessionsReplaced.Load() > replaced }, eventuallyTimeout, pollInterval)
 	t.Logf("replaced after %s", time.Since(started))
--- a/io/peers/proxy_test.go
+++ b/io/peers/proxy_test.go
@@ -57,6 +57,13 @@
 	}
 }
 
+// inUse reports whether a connection is open.
+func (p *proxy) inUse() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns) > 0
+}
+
 // dropTraffic drops all data sent on the connections that are open now, and leaves them open.
 func (p *proxy) dropTraffic() {
 	p.mu.Lock()
