perf: a storm of configurations is fetched in few reads

Change: after a second change within a second the next fetch waits 0.6 s and reads only the newest (cover.Changes). An instance that learns of a newer version from another one waits 0.8 s for its own watch or reader before it reads the store.

--- a/io/node/handover_test.go
+++ b/io/node/handover_test.go
@@ -81,13 +81,17 @@
 type refusableCaller struct {
 	node.StoreCaller
 	refused *atomic.Bool
+	// received is the number of bytes that the store has answered.
+	received *atomic.Int64
 }
 
 func (c refusableCaller) Call(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
 	if c.refused.Load() {
 		return http.StatusServiceUnavailable, nil, nil
 	}
-	return c.StoreCaller.Call(ctx, method, path, body)
+	status, answer, err := c.StoreCaller.Call(ctx, method, path, body)
+	c.received.Add(int64(len(answer)))
+	return status, answer, err
 }
 
 // testInstance is one instance that the test runs.
@@ -99,6 +103,8 @@
 	// refused makes the store refuse the instance's own calls; calls through other instances work.
 	refused atomic.Bool
 	stopped bool
+	// storeBytes is the number of bytes that the store has answered to the instance's own calls.
+	storeBytes atomic.Int64
 	// peers accepts the connections that other instances open to this one.
 	peers *peerListener
 }
@@ -145,7 +151,7 @@
 		Callers: callers, Peers: r.peers, HTTP: ready,
 		NewCallerConn: func(c net.Conn) front.CallerConn { return platform.NewCallerConn(c) },
 		Store: func(relay node.StoreCaller) node.Store {
-			store := platform.NewStore(refusableCaller{direct, &r.refused}, relay, &platform.StoreCalls{})
+			store := platform.NewStore(refusableCaller{direct, &r.refused, &r.storeBytes}, relay, &platform.StoreCalls{})
 			return disconnectableStore{store, &r.disconnected, delay}
 		},
 		Formats: platform.Formats(), Dialer: platform.MemberDialer{Instance: r.id},
--- a/io/node/readers.go
+++ b/io/node/readers.go
@@ -41,8 +41,9 @@
 	// maxForwardedBytes is the size of the largest configuration that readers send to followers. Thirteen followers share the
 	// 10 Mbit/s of the smallest machines, so a larger one would hold up a reader's other work for more than a third of a second.
 	maxForwardedBytes = 32 << 10
-	// readerVersionTimeout is how long a follower waits for its reader to send a configuration that other instances have.
-	readerVersionTimeout = 300 * time.Millisecond
+	// versionTimeout is how long an instance waits for a configuration that other instances have to arrive from the store's watch or
+	// its store reader. It exceeds the pause between two fetches of a storm of changes.
+	versionTimeout = 800 * time.Millisecond
 )
 
 // followedReaders returns the store readers that this instance follows; none when it watches the store itself.
@@ -107,13 +108,9 @@
 	}
 }
 
-// awaitVersion waits up to readerVersionTimeout for the readers to send a configuration version that other instances have, and
-// reports whether it arrived.
+// awaitVersion waits up to versionTimeout for a configuration version that other instances have, and reports whether it arrived.
 func (s *storeSync) awaitVersion(ctx context.Context, version int64) bool {
-	if !s.isFresh() {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, readerVersionTimeout)
+	ctx, cancel := context.WithTimeout(ctx, versionTimeout)
 	defer cancel()
 	for {
 		changed := s.node.routes.Changed()
--- a/io/node/readers_test.go
+++ b/io/node/readers_test.go
@@ -122,6 +122,51 @@
 	require.Less(t, reads, int64(len(all))*(10+10*elapsed.Milliseconds()/1000), "in %s", elapsed)
 }
 
+// TestStormOfConfigurationsIsReadInPart changes the configuration 25 times in two seconds. Each instance may read only a part of the
+// versions, and all must have the newest within the limit.
+func TestStormOfConfigurationsIsReadInPart(t *testing.T) {
+	const (
+		versions = 25
+		gap      = 80 * time.Millisecond
+		// mostRead is the number of configurations that an instance may receive: two before it is known to be a storm, then one in
+		// each 600 ms, and another one at its end.
+		mostRead = 7
+	)
+	for _, count := range []int{3, 12} {
+		t.Run(fmt.Sprintf("%d instances", count), func(t *testing.T) {
+			site, err := fakepl.NewPlatform(0)
+			require.NoError(t, err)
+			defer site.Close()
+			names := make([]string, 150)
+			for i := range names {
+				names[i] = fmt.Sprintf("route%d", i)
+			}
+			site.Configure(1, 1000, names...)
+			size := int64(len(site.Store.Value("op/config")))
+			all := newDataCentre(t, site, count)
+			before := make([]int64, count)
+			for i, instance := range all {
+				before[i] = instance.storeBytes.Load()
+			}
+			for version := range versions {
+				if version == versions-1 {
+					names = append(names, "newest")
+				}
+				site.Configure(version+2, 1000, names...)
+				time.Sleep(gap)
+			}
+			changed := time.Now()
+			for i, instance := range all {
+				require.Eventually(t, func() bool { return fakepl.SessionOpens(instance.callers, "newest") },
+					time.Until(changed.Add(configurationDeadline)), 10*time.Millisecond)
+				// The store's encoding of a value takes a third more, and its other answers little.
+				read := float64(instance.storeBytes.Load()-before[i]) / (1.4 * float64(size))
+				require.LessOrEqual(t, read, float64(mostRead), "configurations read by %s", instance.id)
+			}
+		})
+	}
+}
+
 // countPeerReads returns how often the instances have read from connections that other instances opened to them.
 func countPeerReads(all []*testInstance) int64 {
 	sum := int64(0)
--- a/io/node/storesync.go
+++ b/io/node/storesync.go
@@ -23,8 +23,6 @@
 	// changes that occur together are read with one watch.
 	instanceBatchDelay = 400 * time.Millisecond
 	ownerBatchDelay    = 50 * time.Millisecond
-	// configurationBatchDelay does the same for changes of the configuration, since each answer of a watch has a cost.
-	configurationBatchDelay = 150 * time.Millisecond
 	// minRetryDelay is the delay after a failed call. It doubles with each further failure up to maxRetryDelay. That is long
 	// enough to limit the calls of all instances while the store is unavailable, and short enough to notice its return soon.
 	minRetryDelay = 250 * time.Millisecond
@@ -66,6 +64,7 @@
 	available := true
 	failures := 0
 	backoff := newBackoff()
+	changes := cover.Changes{}
 	for ctx.Err() == nil {
 		if s.waitWhileFresh(ctx, cover.MaxAge) {
 			after, failures = 0, 0
@@ -94,8 +93,12 @@
 		}
 		s.freshness.RecordWatch(sent, wait, len(items))
 		after = next
-		if len(items) > 0 && !pause.For(ctx, configurationBatchDelay) {
-			return
+		if len(items) > 0 {
+			wait, newestOnly := changes.Record(n.settings.Clock.Now())
+			if newestOnly {
+				after = 0
+			}
+			pause.For(ctx, wait)
 		}
 	}
 }
