feat: channels say when a message was not sent, and connections can be retired

A connection that has turned silent can be retired: new channels use a new one, the old one stays open for answers that may still come, and the session monitor closes it when it has no channels left.

--- a/io/peers/codec.go
+++ b/io/peers/codec.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"sync"
 
+	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -43,7 +44,10 @@
 	}
 }
 
-// write sends the message with a single write.
+// ErrNotSent means that the channel had ended before any part of a message was sent.
+var ErrNotSent = errors.New("the channel to the other instance had ended before the message was sent; send it over a new one")
+
+// write sends the message with a single write. The error is ErrNotSent when it is certain that nothing was sent.
 func (c *codec) write(message proto.Message) error {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
@@ -58,7 +62,10 @@
 		c.outBuffer = encoded
 	}
 	binary.BigEndian.PutUint32(encoded, uint32(len(encoded)-headerBytes))
-	_, err = c.conn.Write(encoded)
+	sent, err := c.conn.Write(encoded)
+	if sent == 0 && (errors.Is(err, yamux.ErrStreamClosed) || errors.Is(err, yamux.ErrConnectionReset)) {
+		return errors.Wrap(ErrNotSent, err.Error())
+	}
 	return errors.Wrap(err, "sending to another instance")
 }
 
--- a/io/peers/session.go
+++ b/io/peers/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -28,6 +29,8 @@
 	// pingedAt is when the session monitor sent a ping after which nothing has arrived; zero when there is none. Only
 	// the session monitor uses it.
 	pingedAt time.Time
+	// retired is set when no new streams are opened; the session monitor then closes the session once it has none.
+	retired atomic.Bool
 }
 
 // sessionSettings disables the keepalive of yamux: the session monitor finds unresponsive connections, and
--- a/io/peers/sessionmonitor.go
+++ b/io/peers/sessionmonitor.go
@@ -61,7 +61,7 @@
 }
 
 // check pings the sessions in use that have received nothing for pingAfter, and closes those that then receive nothing
-// for pingTimeout. When this process was paused, it discards the times of all pings sent before, so that a session is
+// for pingTimeout. It closes retired ones that have no streams. When this process was paused, it discards the times of all pings sent before, so that a session is
 // closed only after a new ping.
 func (m *sessionMonitor) check(now time.Time, paused bool) {
 	m.mu.Lock()
@@ -70,6 +70,9 @@
 		switch {
 		case s.IsClosed():
 			delete(m.sessions, s)
+		case s.NumStreams() == 0 && s.retired.Load():
+			delete(m.sessions, s)
+			m.goroutines.Go(func() { closeQuietly(s) })
 		case s.NumStreams() == 0 || paused || now.Sub(s.conn.lastReceivedAt()) < pingAfter:
 			s.pingedAt = time.Time{}
 		case s.pingedAt.IsZero():
--- a/io/peers/sessionpool.go
+++ b/io/peers/sessionpool.go
@@ -91,6 +91,13 @@
 	shared.replace(session)
 }
 
+// retire keeps the session from being used for new streams. The next one opens a new session.
+func (p *sessionPool) retire(address string, used *session) {
+	if shared, err := p.forAddress(address); err == nil {
+		shared.retire(used)
+	}
+}
+
 // close drops all shared sessions and prevents new ones. It leaves the open ones to the other end to close.
 func (p *sessionPool) close() {
 	close(p.stop)
--- a/io/peers/sharedsession.go
+++ b/io/peers/sharedsession.go
@@ -106,6 +106,18 @@
 	}
 }
 
+// retire drops the session without closing it, if it is the present one. The session monitor closes it when its streams have ended.
+func (s *sharedSession) retire(used *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.session != used {
+		return
+	}
+	s.session = nil
+	used.retired.Store(true)
+	s.counters.SessionsReplaced.Add(1)
+}
+
 // closeIdle closes the session if it has no streams and was not used since the given time. It returns whether the
 // shared session is unused and can be dropped.
 func (s *sharedSession) closeIdle(since time.Time) bool {
--- a/io/peers/transport.go
+++ b/io/peers/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
@@ -11,6 +12,9 @@
 // Channel is a stream of messages between two instances. One goroutine may send while another receives.
 type Channel struct {
 	*codec
+	session *session
+	// retire keeps the session from being used for new channels.
+	retire func()
 }
 
 // Send sends a message.
@@ -22,6 +26,16 @@
 // Conn returns the underlying stream, on which deadlines can be set and which can be closed.
 func (c *Channel) Conn() net.Conn { return c.conn }
 
+// IsResponsive reports whether anything has arrived over the channel's connection since the given time, or a ping over it is answered
+// within the timeout.
+func (c *Channel) IsResponsive(since time.Time, timeout time.Duration) bool {
+	return c.session.conn.lastReceivedAt().After(since) || c.session.responds(context.Background(), timeout)
+}
+
+// Retire makes new channels to the same instance use a new connection. The present one stays open until its channels have ended or
+// it has been unresponsive for long, so that an answer may still arrive late.
+func (c *Channel) Retire() { c.retire() }
+
 // Close closes the channel.
 func (c *Channel) Close() { closeQuietly(c.conn) }
 
@@ -40,19 +54,19 @@
 	t := &Transport{counters: &Counters{}}
 	t.sessionMonitor = newSessionMonitor(t.counters)
 	t.sessions = newSessionPool(func(address string) string { return address }, t.counters, t.sessionMonitor)
-	t.listener = newListener(netListener, t.counters, t.sessionMonitor, func(_ *session, stream *yamux.Stream) {
-		serve(&Channel{newCodec(stream, t.counters)})
+	t.listener = newListener(netListener, t.counters, t.sessionMonitor, func(s *session, stream *yamux.Stream) {
+		serve(&Channel{newCodec(stream, t.counters), s, func() {}})
 	})
 	return t
 }
 
 // Open opens a channel to the instance at the address.
 func (t *Transport) Open(ctx context.Context, address string) (*Channel, error) {
-	stream, _, err := t.sessions.openStream(ctx, address)
+	stream, used, err := t.sessions.openStream(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	return &Channel{newCodec(stream, t.counters)}, nil
+	return &Channel{newCodec(stream, t.counters), used, func() { t.sessions.retire(address, used) }}, nil
 }
 
 // Counters returns the counters of the transport.
