feat: requests are refused at once where no owner is reached, and their callers move

A repeated request came back over the same session, to the same instance. Change: core/reach records per database since when its owner does not answer. For the 1.2 s of a takeover requests wait as before; then they are refused at once, the session is closed so that the balancer chooses the instance of the next try, and a search every 250 ms finds the end of the outage. A standby that acts for its owner is tried first, and no takeover is waited for when it may act no longer. A request that may be repeated no longer waits over a silent connection (answerWait: no answer for 150 ms, a ping unanswered for 200 ms). A write that was not sent is sent over a new connection instead of being answered with an unknown outcome. Up to twelve candidates monitor an owner that their own callers do not reach, since the first three may be on its side; witnesses are other ones each time and have 350 ms.

--- a/io/front/runatowner.go
+++ b/io/front/runatowner.go
@@ -94,6 +94,7 @@
 			return stmt.Failure(stmt.RolledBack, "the connection to the transaction's owner was lost; the transaction was rolled back")
 		}
 		if err := s.connectOwner(ctx); err != nil {
+			s.ownerUnreached = errors.Is(err, ErrOwnerUnreached)
 			return stmt.Failure(stmt.Overloaded, err.Error())
 		}
 		req.Timeout = time.Until(started.Add(timeout))
@@ -119,7 +120,7 @@
 // handleConnectionLoss decides what an error of the owner's session means for the request. With final set, the reply is
 // the one for the caller; otherwise the request may be sent again.
 func (s *session) handleConnectionLoss(req group.Request, err error) (stmt.Reply, bool) {
-	notRun := errors.Is(err, group.ErrNotOwner)
+	notRun := errors.Is(err, group.ErrNotOwner) || errors.Is(err, ErrNotSent)
 	switch {
 	case req.Continues() && req.Statement.Kind == stmt.Commit && !notRun:
 		return stmt.Failure(stmt.OutcomeUnknown, "the answer to the commit is missing: "+err.Error()), true
--- a/io/front/session.go
+++ b/io/front/session.go
@@ -48,6 +48,8 @@
 	database     types.DatabaseID
 	// valuesUnsent is set when the owner does not have the present values.
 	valuesUnsent bool
+	// ownerUnreached is set when the last statement for the owner was refused because no owner was reached.
+	ownerUnreached bool
 }
 
 // serve handles the caller's statements until the caller ends the session or the server stops.
@@ -55,7 +57,7 @@
 	defer s.closeOwnerSession()
 	for {
 		s.setIdleTimeout()
-		if s.server.mustClose(s.state) && !s.caller.HasUnreadBytes() {
+		if (s.server.mustClose(s.state) || s.mustMove()) && !s.caller.HasUnreadBytes() {
 			return
 		}
 		statement, err := s.caller.Next()
@@ -80,6 +82,10 @@
 	}
 }
 
+// mustMove reports whether to close the session because this instance reaches no owner of its database. The caller repeats its request
+// over a new connection then, which the balancer may give to an instance that does; over this one the request would come back here.
+func (s *session) mustMove() bool { return s.ownerUnreached && s.state == stmt.Idle }
+
 // handleReadError tells the caller that its message was too long. It does nothing when the caller ended the session or
 // disconnected.
 func (s *session) handleReadError(err error) {
--- a/io/node/claim.go
+++ b/io/node/claim.go
@@ -7,6 +7,7 @@
 	"turmericpulley/core/hold"
 	"turmericpulley/core/pause"
 	"turmericpulley/core/routes"
+	"turmericpulley/core/types"
 )
 
 // claimIfOwnerless claims a database that has no living owner once it is this instance's turn. Candidates claim in the order
@@ -21,7 +22,7 @@
 		// The standby and a restarted owner need not wait for other candidates.
 		rank = 0
 	}
-	if known && !m.detector.isDead(record.Owner, rank) {
+	if known && !m.detector.isDead(record.Owner, m.monitorRank(database.ID, rank)) {
 		m.mu.Lock()
 		delete(m.ownerlessSince, database.ID)
 		m.mu.Unlock()
@@ -50,6 +51,15 @@
 	}
 }
 
+// monitorRank returns the rank by which this instance decides whether it monitors the database's owner. When its own callers have
+// not reached an owner for longer than a takeover takes, the first candidates are cut off too, and later ones step in.
+func (m *ownershipManager) monitorRank(database types.DatabaseID, rank int) int {
+	if rank < maxMonitorsInOutage && m.node.owners.Unreached(database) {
+		return 0
+	}
+	return rank
+}
+
 // claim writes a record that names this instance as the owner. When the write fails, it reads the record again, since another
 // instance may have been first. It reports whether the store answered the write or this read.
 func (m *ownershipManager) claim(ctx context.Context, database routes.Database, record ownerRecord) bool {
--- a/io/node/detector.go
+++ b/io/node/detector.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -20,6 +21,9 @@
 	pingRetryDelay = 130 * time.Millisecond
 	// monitorsPerOwner is the number of candidates that monitor each owner.
 	monitorsPerOwner = 3
+	// maxMonitorsInOutage is the number of candidates that monitor an owner whom their own callers do not reach. When half of the
+	// instances are cut from the other half, one of them is on each side in 99.9 of 100 cases.
+	maxMonitorsInOutage = 12
 	// pingTimeout bounds the wait for the answer to a ping, which usually takes 3 ms, and 30 ms on a machine that is five times
 	// slower.
 	pingTimeout = 250 * time.Millisecond
@@ -27,6 +31,8 @@
 	monitorIdleLimit = 5 * time.Second
 	// maxOwnerWitnesses is the number of instances that are asked whether they reach an unresponsive owner.
 	maxOwnerWitnesses = 4
+	// witnessTimeout bounds the wait for their answers: a ping of their own, and the way to them and back.
+	witnessTimeout = pingTimeout + 100*time.Millisecond
 )
 
 // failureDetector monitors the owners that this instance may have to replace. An owner counts as dead when it has not answered
@@ -152,19 +158,24 @@
 	}
 }
 
-// reachedByOthers asks up to maxOwnerWitnesses other instances whether they reach the instance, and reports whether one does.
+// reachedByOthers asks up to maxOwnerWitnesses other instances, other ones each time, whether they reach the instance, and reports
+// whether one does.
 func (d *failureDetector) reachedByOthers(id types.InstanceID) bool {
 	n := d.node
+	ctx, cancel := context.WithTimeout(d.ctx, witnessTimeout)
+	defer cancel()
 	var calls sync.WaitGroup
 	answers := make(chan bool, maxOwnerWitnesses)
 	count := 0
-	for _, instance := range n.directory.all() {
+	all := n.directory.all()
+	for _, i := range rand.Perm(len(all)) {
+		instance := all[i]
 		if instance.ID == n.settings.Self.ID || instance.ID == id || count == maxOwnerWitnesses {
 			continue
 		}
 		count++
 		calls.Go(func() {
-			reply, err := n.call(d.ctx, instance.PeerAddress, &wire.Call{Kind: &wire.Call_Reach{Reach: &wire.Reach{Instance: string(id)}}})
+			reply, err := n.call(ctx, instance.PeerAddress, &wire.Call{Kind: &wire.Call_Reach{Reach: &wire.Reach{Instance: string(id)}}})
 			answers <- err == nil && reply.GetReached().GetAlive()
 		})
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -11,6 +11,7 @@
 
 	"turmericpulley/core/fleet"
 	"turmericpulley/core/hold"
+	"turmericpulley/core/reach"
 	"turmericpulley/core/routes"
 	"turmericpulley/core/types"
 	"turmericpulley/io/front"
@@ -31,6 +32,7 @@
 	ownerships            *ownershipManager
 	memberEntries         *memberEntries
 	unresponsive          *unresponsive
+	owners                *reach.Owners
 	storeSync             *storeSync
 	callers               *front.Server
 	readyServer           *http.Server
@@ -54,6 +56,7 @@
 	n.directStore, n.store = s.Store(nil), s.Store(&relay{node: n})
 	n.memberEntries = newMemberEntries(n)
 	n.unresponsive = newUnresponsive()
+	n.owners = reach.NewOwners(s.Clock)
 	n.ownerships = newOwnershipManager(n)
 	n.storeSync = newStoreSync(n)
 	n.transport = peers.NewTransport(s.Peers, n.serveChannel)
--- a/io/node/peercalls.go
+++ b/io/node/peercalls.go
@@ -64,8 +64,8 @@
 }
 
 // noticeVersion fetches the configuration when another instance reports a newer version than this one has. One fetch runs at
-// a time. It first waits for a store reader to send the version. If none does, it reads the store, and if the store does not
-// answer, it asks other instances.
+// a time. It first waits for the version to arrive from the store's watch or a store reader. If it does not, it reads the store, and
+// if the store does not answer, it asks other instances.
 func (n *Node) noticeVersion(version int64) {
 	if version <= n.configurationVersion() || !n.fetchingConfiguration.CompareAndSwap(false, true) {
 		return
--- a/io/node/remote.go
+++ b/io/node/remote.go
@@ -27,9 +27,17 @@
 
 // Do sends one statement to the owner and waits for its answer.
 func (r *remoteOwner) Do(request group.Request) (stmt.Reply, error) {
+	began := r.node.settings.Clock.Now()
 	reply, err := r.do(request)
-	if errors.Is(err, front.ErrConnectionLost) {
-		r.node.unresponsive.record(r.instance)
+	switch {
+	case err == nil:
+		r.node.recordServed(r.database, r.instance)
+	case errors.Is(err, front.ErrNotSent):
+	default:
+		if errors.Is(err, front.ErrConnectionLost) {
+			r.node.unresponsive.record(r.instance)
+		}
+		r.node.recordUnreached(r.database, began)
 	}
 	return reply, err
 }
@@ -40,7 +48,14 @@
 		timeout = peerCallTimeout
 	}
 	call := &wire.Call{Kind: &wire.Call_Work{Work: encodeWork(r.database, request)}}
+	if request.Retryable() {
+		wait := newAnswerWait(r.channel)
+		defer wait.end()
+	}
 	reply, err := r.node.exchange(time.Now().Add(timeout+answerMargin), r.channel, call)
+	if errors.Is(err, peers.ErrNotSent) {
+		return stmt.Reply{}, errors.Wrap(front.ErrNotSent, err.Error())
+	}
 	if err != nil {
 		return stmt.Reply{}, errors.Wrap(front.ErrConnectionLost, err.Error())
 	}
--- a/io/node/router.go
+++ b/io/node/router.go
@@ -36,7 +36,8 @@
 	node *Node
 }
 
-// OwnerSession returns a session at the current owner of the database. It retries until the context ends.
+// OwnerSession returns a session at the current owner of the database. It retries until the context ends, or until no takeover is
+// expected any more.
 func (r *router) OwnerSession(ctx context.Context, database types.DatabaseID) (front.OwnerSession, error) {
 	n := r.node
 	reread := time.Now().Add(rereadDelay)
@@ -44,13 +45,12 @@
 		if owned := n.ownerships.get(database); owned != nil {
 			return owned.group.NewSession(), nil
 		}
-		if record, known := n.directory.owner(database); known {
-			for _, id := range n.ownerAndStandby(record) {
-				if session := r.openSession(ctx, id, database); session != nil {
-					return session, nil
-				}
-				n.unresponsive.record(id)
-			}
+		if n.owners.Refuse(database) {
+			n.rereadOwner(database)
+			return nil, errors.Wrapf(front.ErrOwnerUnreached, "database %s", database)
+		}
+		if session := r.tryInstances(ctx, database); session != nil {
+			return session, nil
 		}
 		if time.Now().After(reread) {
 			n.rereadOwner(database)
@@ -62,13 +62,31 @@
 	}
 }
 
+// tryInstances opens a session at the first instance that can be reached of those at which the owner may be; nil when there is none.
+func (r *router) tryInstances(ctx context.Context, database types.DatabaseID) front.OwnerSession {
+	n := r.node
+	record, known := n.directory.owner(database)
+	if !known {
+		return nil
+	}
+	began := n.settings.Clock.Now()
+	for _, id := range n.ownerAndStandby(database, record) {
+		if session := r.openSession(ctx, id, database); session != nil {
+			return session
+		}
+		n.unresponsive.record(id)
+	}
+	n.recordUnreached(database, began)
+	return nil
+}
+
 // ownerAndStandby returns the instances at which the owner of the database may be reached: the owner and its standby, the
-// standby first when the owner has been unresponsive recently.
-func (n *Node) ownerAndStandby(record ownerRecord) []types.InstanceID {
+// standby first when it serves in place of the owner, or when the owner has been unresponsive recently.
+func (n *Node) ownerAndStandby(database types.DatabaseID, record ownerRecord) []types.InstanceID {
 	if record.Standby == nil {
 		return []types.InstanceID{record.Instance}
 	}
-	if n.unresponsive.recently(record.Instance) {
+	if n.owners.Bridged(database) || n.unresponsive.recently(record.Instance) {
 		return []types.InstanceID{record.Standby.Instance, record.Instance}
 	}
 	return []types.InstanceID{record.Instance, record.Standby.Instance}
--- a/io/node/unreached_test.go
+++ b/io/node/unreached_test.go
@@ -30,6 +30,82 @@
 	return owner, standby, others
 }
 
+// TestRequestsAreRefusedAtOnceWhenNoOwnerIsReached silences the owner and its standby and disconnects all others from the store, as a
+// network split does. Once a takeover would have happened, an instance refuses requests at once and closes their sessions, so that
+// callers repeat them over new connections, at other instances. They waited until the route's timeout before, which leaves no time
+// for that. When the network is whole again, requests are served again.
+func TestRequestsAreRefusedAtOnceWhenNoOwnerIsReached(t *testing.T) {
+	site, err := fakepl.NewPlatform(0)
+	require.NoError(t, err)
+	defer site.Close()
+	site.Configure(1, 1000)
+	owner, standby, others := awaitStandby(t, site, newDataCentre(t, site, 4))
+	require.True(t, fakepl.StatementSucceeds(others[0].callers, "primary", "READ a"))
+	owner.peers.silent.Store(true)
+	standby.peers.silent.Store(true)
+	for _, i := range others {
+		i.disconnected.Store(true)
+	}
+	began := time.Now()
+	for time.Since(began) < 2500*time.Millisecond {
+		_ = fakepl.StatementSucceeds(others[0].callers, "primary", "READ a")
+	}
+	for range 20 {
+		caller, err := fakepl.Dial(others[0].callers, "primary")
+		require.NoError(t, err)
+		sent := time.Now()
+		r, err := caller.Query("READ a")
+		require.NoError(t, err)
+		require.Equal(t, "BUSY", r.Code, r.Text)
+		require.Less(t, time.Since(sent), 50*time.Millisecond)
+		_, err = caller.Query("READ a")
+		require.Error(t, err, "the session has been closed")
+		caller.Close()
+	}
+	owner.peers.silent.Store(false)
+	standby.peers.silent.Store(false)
+	for _, i := range others {
+		i.disconnected.Store(false)
+	}
+	awaitWrite(t, others[0].callers)
+}
+
+// TestReadIsRepeatedWhenItsConnectionToTheOwnerTurnsSilent silences the open connections to the owner. A read that is waiting for its
+// answer has to be sent again over a new connection, long before its timeout.
+func TestReadIsRepeatedWhenItsConnectionToTheOwnerTurnsSilent(t *testing.T) {
+	site, err := fakepl.NewPlatform(0)
+	require.NoError(t, err)
+	defer site.Close()
+	site.Configure(1, 1000)
+	owner, _, others := awaitStandby(t, site, newDataCentre(t, site, 3))
+	caller, err := fakepl.Dial(others[0].callers, "primary")
+	require.NoError(t, err)
+	defer caller.Close()
+	mustSucceed(t, caller, "READ a")
+	owner.peers.silenceOpen()
+	sent := time.Now()
+	mustSucceed(t, caller, "READ a")
+	t.Logf("answered after %s", time.Since(sent))
+	require.Less(t, time.Since(sent), 600*time.Millisecond)
+}
+
+// TestWriteIsSentOverNewConnectionWhenTheOldOneHasEnded ends the connections to the owner between two writes of a session. The second
+// write cannot have been sent over the old connection, so that its outcome is known.
+func TestWriteIsSentOverNewConnectionWhenTheOldOneHasEnded(t *testing.T) {
+	site, err := fakepl.NewPlatform(0)
+	require.NoError(t, err)
+	defer site.Close()
+	site.Configure(1, 1000)
+	owner, _, others := awaitStandby(t, site, newDataCentre(t, site, 3))
+	caller, err := fakepl.Dial(others[0].callers, "primary")
+	require.NoError(t, err)
+	defer caller.Close()
+	mustSucceed(t, caller, "WRITE a 1")
+	owner.peers.endConnections()
+	time.Sleep(100 * time.Millisecond)
+	mustSucceed(t, caller, "WRITE a 2")
+}
+
 // TestStandbyActsAtOnceWhileTheStoreIsSilent silences the owner while calls to the store get no answer for three seconds. The standby
 // must not wait for such a call before it acts.
 func TestStandbyActsAtOnceWhileTheStoreIsSilent(t *testing.T) {
@@ -59,3 +135,10 @@
 		i.disconnected.Store(false)
 	}
 }
+
+func mustSucceed(tb testing.TB, caller *fakepl.Client, statement string) {
+	tb.Helper()
+	r, err := caller.Query(statement)
+	require.NoError(tb, err)
+	require.Empty(tb, r.Code, r.Text)
+}
