fix: a commit in the middle of a pipeline is answered only after a majority holds it

Cause: the answers of a batch that arrives in several frames were relayed as they came. When a pipeline asked for them with a flush after a COMMIT, the caller got its answer though no replica had received the transaction; a failover would have lost it. Change: such a part of an answer waits for the confirmation of the commit, and its failure is an unknown outcome. Test: TestFlushedCommitWithoutMajorityHasUnknownOutcome; before, 'COMMIT' was answered after 0.42 s without any replica.

--- a/io/owner/block.go
+++ b/io/owner/block.go
@@ -84,7 +84,7 @@
 	return errBlockLost()
 }
 
-// awaitCommitInBlock waits for the confirmation of a block that a batch committed before it began the next one. The member
+// awaitCommitInBlock waits for the confirmation of a block that a batch committed before its end, if there is one. The member
 // reports no position inside a block, so the position that the primary reports after the answer is awaited.
 func (t *transaction) awaitCommitInBlock(ctx context.Context, mc memberConn, a *answer) error {
 	if !a.committedBlock || mc.readOnly {
--- a/io/owner/exchange.go
+++ b/io/owner/exchange.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"turmericpulley/core/fault"
 	"turmericpulley/core/policy"
 )
 
@@ -34,6 +35,9 @@
 		return err
 	}
 	cancelStatement(c)
+	if fault.From(err) != nil {
+		return err
+	}
 	return errors.Wrap(ctx.Err(), "waiting for a target's answer")
 }
 
--- a/io/owner/primary.go
+++ b/io/owner/primary.go
@@ -137,7 +137,7 @@
 				return errors.New("the answer after a completed command is too large to hold; send smaller batches")
 			}
 			if !a.ended() && t.mayRelay(mc, a, ended) && t.owner.state.leaseValid() {
-				if err := t.relay(a.take()); err != nil {
+				if err := t.relayPart(ctx, mc, a); err != nil {
 					return err
 				}
 			}
@@ -146,8 +146,18 @@
 	})
 }
 
+// relayPart sends the part of the answer that has been read to the caller. If it contains the end of a committed block, that is
+// confirmed first.
+func (t *transaction) relayPart(ctx context.Context, mc memberConn, a *answer) error {
+	if err := t.awaitCommitInBlock(ctx, mc, a); err != nil {
+		return err
+	}
+	a.committedBlock = false
+	return t.relay(a.take())
+}
+
 // mayRelay reports whether the messages read so far may be sent to the caller before the answer is complete. For a batch of
-// several frames they are sent as they arrive, even after a completed command: the caller may have sent a flush and wait for
+// several frames they are sent as they arrive, even after a completed command, once a commit among them is confirmed: the caller may have sent a flush and wait for
 // them before it sends the rest of the batch.
 func (t *transaction) mayRelay(mc memberConn, a *answer, ended bool) bool {
 	if ended {
@@ -199,8 +209,11 @@
 	return t.finish(a.take(), mc.target, false, mc.term, position)
 }
 
-// primaryFailure returns the error for the caller after a batch was sent to the primary and not answered.
+// primaryFailure returns the error for the caller after a batch was sent to the primary and not answered, or not confirmed.
 func (t *transaction) primaryFailure(ctx context.Context, err error) error {
+	if f := fault.From(err); f != nil && f.Kind == fault.OutcomeUnknown {
+		return f
+	}
 	switch {
 	case errors.Is(err, errCallerGone):
 		return err
--- a/io/server/commit_test.go
+++ b/io/server/commit_test.go
@@ -62,6 +62,37 @@
 	}
 }
 
+// TestFlushedCommitWithoutMajorityHasUnknownOutcome commits a block in the middle of a pipeline and asks for the answers so far with a
+// flush, on a primary whose replicas receive nothing. The answer to the commit must not arrive before a majority holds it.
+func TestFlushedCommitWithoutMajorityHasUnknownOutcome(t *testing.T) {
+	f := startFleet(t, 1, neverReplicated)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	c := f.connect(t, 0, "desk-1")
+	f.waitForOwner(t)
+	pipeline := c.PgConn().StartPipeline(ctx)
+	for _, sql := range []string{"BEGIN", "INSERT INTO orders (key, value) VALUES ('k', 'x')", "COMMIT"} {
+		pipeline.SendQueryParams(sql, nil, nil, nil, nil)
+	}
+	pipeline.SendFlushRequest()
+	require.NoError(t, pipeline.Flush())
+	var tags []string
+	var failure error
+	for range 3 {
+		result, err := pipeline.GetResults()
+		if err == nil {
+			read := result.(*pgconn.ResultReader).Read()
+			tags, err = append(tags, read.CommandTag.String()), read.Err
+		}
+		if failure = err; failure != nil {
+			break
+		}
+	}
+	require.NotContains(t, tags, "COMMIT")
+	requireSQLState(t, failure, sqlStateOutcomeUnknown)
+	_ = pipeline.Close()
+}
+
 // TestRepeatedRequestOfUnconfirmedRunHasUnknownOutcome repeats a transaction block with a request key while no majority
 // holds its first run. The record of the first run must not be used as an answer before it is confirmed.
 func TestRepeatedRequestOfUnconfirmedRunHasUnknownOutcome(t *testing.T) {
