fix: an instance whose claim gets no answer finds out sooner that it owns the database

Change: the write of a claim is waited for 0.4 s; then the record is read, which names this instance if the write took effect.

--- a/io/fakepl/store.go
+++ b/io/fakepl/store.go
@@ -29,6 +29,7 @@
 	forcedStatus      int
 	readOnly          bool
 	loseResponses     bool
+	withholdResponses bool
 	calls             int
 	// PageSize is the largest number of items in the response to a range request.
 	PageSize int
@@ -88,6 +89,13 @@
 	s.loseResponses = lose
 }
 
+// WithholdResponses makes transactions take effect without a response; the connection stays open.
+func (s *Store) WithholdResponses(withhold bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.withholdResponses = withhold
+}
+
 // Compact drops the history. Watches from an earlier revision get status 410.
 func (s *Store) Compact() {
 	s.mu.Lock()
@@ -246,6 +254,12 @@
 		// The connection is closed without a response.
 		panic(http.ErrAbortHandler)
 	}
+	if s.withholdResponses {
+		s.mu.Unlock()
+		<-r.Context().Done()
+		s.mu.Lock()
+		return
+	}
 	writeJSON(w, map[string]any{"revision": s.revision})
 }
 
--- a/io/node/claim.go
+++ b/io/node/claim.go
@@ -60,14 +60,21 @@
 	return rank
 }
 
+// claimTimeout bounds the write of a claim. A store that is sixty times slower than usual answers within it. When the answer is
+// lost, the record shows whether the write took effect, so that there is no reason to wait for longer.
+const claimTimeout = 400 * time.Millisecond
+
 // claim writes a record that names this instance as the owner. When the write fails, it reads the record again, since another
-// instance may have been first. It reports whether the store answered the write or this read.
+// instance may have been first, or the write may have taken effect without an answer; the record then names this instance, which
+// adopts the database. It reports whether the store answered the write or this read.
 func (m *ownershipManager) claim(ctx context.Context, database routes.Database, record ownerRecord) bool {
 	n := m.node
 	next := record.handedTo(n.settings.Self)
 	owned := m.newOwnership(database, next)
 	sent := n.settings.Clock.Now()
-	if err := owned.writeRecord(ctx, next, sent); err != nil {
+	writeCtx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	if err := owned.writeRecord(writeCtx, next, sent); err != nil {
 		n.logger.Info("database not claimed", "database", database.ID, "error", err)
 		return m.rereadRecord(ctx, database.ID)
 	}
--- a/io/node/restart_test.go
+++ b/io/node/restart_test.go
@@ -47,3 +47,18 @@
 	t.Logf("served after %s", time.Since(began))
 	require.Less(t, time.Since(began), callerTimeout)
 }
+
+// TestClaimWithoutAnswerIsAdoptedSoon lets the store carry out all writes without an answer. An instance that claims a database then
+// has to find out soon that it owns it.
+func TestClaimWithoutAnswerIsAdoptedSoon(t *testing.T) {
+	site, err := fakepl.NewPlatform(0)
+	require.NoError(t, err)
+	defer site.Close()
+	site.Store.WithholdResponses(true)
+	began := time.Now()
+	owner := startInstance(t, site, "n1")
+	awaitWrite(t, owner.callers)
+	t.Logf("served after %s", time.Since(began))
+	require.Less(t, time.Since(began), 700*time.Millisecond)
+	site.Store.WithholdResponses(false)
+}
