fix: a leaving primary whose replacement fails gets no statements for longer than it may be used

Cause: after a promotion that was refused or delayed, the controller found the leaving primary again and made it active, each time, for as long as it ran. And once a promotion had been refused, none took effect any more for the owner: each attempt recorded a higher term, while the platform counts only promotions that take effect, so that the new primary's term stayed below the recorded one and it was not accepted. A promoted member is accepted by its being primary in a term above the last known one.

--- a/io/group/failover.go
+++ b/io/group/failover.go
@@ -52,7 +52,11 @@
 	case suspected == primary || !listed:
 		c.verifyPrimary(ctx, primary)
 	case member.Leaving:
-		c.replacePrimary(ctx, switchover)
+		if !g.mayUseAsPrimary(primary) {
+			g.logger.Warn("leaving primary gets no statements any more", "member", primary)
+			g.scheduler.SuspendPrimary(expectedPromotionTime)
+		}
+		c.replacePrimary(ctx, primary, switchover)
 	case suspected != "":
 		c.checkReplica(ctx, suspected)
 	default:
@@ -97,6 +101,10 @@
 	}
 	observations := g.probeAll(ctx, g.listMembers())
 	best, found := c.highestTermPrimary(observations)
+	if found && !g.mayUseAsPrimary(best.member.Target) {
+		c.replacePrimary(ctx, best.member.Target, switchover)
+		return
+	}
 	if found {
 		c.openPrimary(best)
 		return
@@ -112,12 +120,14 @@
 		timeout = firstPrimaryTimeout
 	}
 	if g.settings.Clock.Since(c.lostAt) > timeout {
-		c.replacePrimary(ctx, failover)
+		old, _ := g.scheduler.Primary()
+		c.replacePrimary(ctx, old, failover)
 	}
 }
 
 // highestTermPrimary returns the primary of the highest term. False means that there is none, or that it has been replaced:
-// another member reports a higher term, or a promotion to a higher term is recorded and is not known to have failed.
+// another member reports a higher term, or a promotion of another member to a higher term is recorded and is not known to have
+// failed.
 func (c *failoverController) highestTermPrimary(observations []observation) (observation, bool) {
 	var best observation
 	found := false
@@ -134,7 +144,7 @@
 	if !found || best.status.Term < known {
 		return best, false
 	}
-	if p := c.group.settings.Ownership.RecordedPromotion(); p != nil && best.status.Term < p.Term {
+	if p := c.group.settings.Ownership.RecordedPromotion(); p != nil && best.status.Term < p.Term && best.member.Target != p.Target {
 		return best, c.promotionFailed(p.Target, observations)
 	}
 	return best, true
--- a/io/group/group.go
+++ b/io/group/group.go
@@ -35,6 +35,7 @@
 	// failover controller is to check.
 	unusable  map[types.TargetID]bool
 	suspected map[types.TargetID]bool
+	leaving   *place.Leaving
 	// primary is the last member that became the active primary, and term its term.
 	primary types.TargetID
 	term    types.Term
@@ -49,7 +50,7 @@
 		settings: s, logger: s.Logger.With("database", s.Database),
 		requestLogger: s.RequestLogger.With("database", s.Database), scheduler: place.NewScheduler(s.Clock),
 		retryBudget: retry.NewBudget(), wakeups: make(chan struct{}, 1), cancel: cancel,
-		pools: map[types.TargetID]*pool{}, unusable: map[types.TargetID]bool{}, suspected: map[types.TargetID]bool{},
+		pools: map[types.TargetID]*pool{}, unusable: map[types.TargetID]bool{}, suspected: map[types.TargetID]bool{}, leaving: place.NewLeaving(s.Clock),
 	}
 	g.scheduler.SuspendPrimary(probeTimeout)
 	controller := &failoverController{group: g}
@@ -102,9 +103,9 @@
 	changed := !slices.Equal(g.members, members)
 	g.members = members
 	var removed []*pool
-	present := make(map[types.TargetID]bool, len(members))
+	leaving := make(map[types.TargetID]bool, len(members))
 	for _, m := range members {
-		present[m.Target] = true
+		leaving[m.Target] = m.Leaving
 		if p := g.pools[m.Target]; p != nil {
 			p.updateMember(m)
 		} else {
@@ -112,11 +113,12 @@
 		}
 	}
 	for target, p := range g.pools {
-		if !present[target] {
+		if _, listed := leaving[target]; !listed {
 			removed = append(removed, p)
 			delete(g.pools, target)
 		}
 	}
+	g.leaving.Update(leaving)
 	g.mu.Unlock()
 	for _, p := range removed {
 		p.closeIdle()
@@ -128,6 +130,13 @@
 	}
 }
 
+// mayUseAsPrimary reports whether the member may get new statements as the primary: it stays, or has not been leaving for too long.
+func (g *Group) mayUseAsPrimary(target types.TargetID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leaving.MayUse(target)
+}
+
 // updateScheduler passes the members to the scheduler and says which of them take new statements.
 func (g *Group) updateScheduler() {
 	g.mu.Lock()
--- a/io/group/replace.go
+++ b/io/group/replace.go
@@ -23,11 +23,10 @@
 	switchover
 )
 
-// replacePrimary suspends statements to the primary and promotes the replica with the longest log. A switchover first
+// replacePrimary suspends statements to the old primary and promotes the replica with the longest log. A switchover first
 // waits for the work in flight.
-func (c *failoverController) replacePrimary(ctx context.Context, kind replacementKind) {
+func (c *failoverController) replacePrimary(ctx context.Context, old types.TargetID, kind replacementKind) {
 	g := c.group
-	old, _ := g.scheduler.Primary()
 	if kind == switchover && !c.hasCandidate(old) {
 		return
 	}
@@ -205,12 +204,13 @@
 	}
 }
 
-// awaitPromotion makes the promoted member the active primary as soon as it reports that it is primary.
+// awaitPromotion makes the promoted member the active primary as soon as it reports that it is primary. The platform counts terms
+// by promotions that took effect, so that after a refused one the member's term may be lower than the recorded one.
 func (c *failoverController) awaitPromotion(ctx context.Context, candidate routes.Member, term types.Term, deadline clock.Moment) {
 	g := c.group
 	for g.settings.Clock.Now() < deadline {
 		observed := g.probeOnIdleConn(ctx, candidate)
-		if observed.err == nil && observed.status.Primary && observed.status.Term >= term && g.settings.Ownership.Lease().Valid() {
+		if observed.err == nil && observed.status.Primary && observed.status.Term > g.currentTerm() && g.settings.Ownership.Lease().Valid() {
 			c.openPrimary(observed)
 			return
 		}
--- a/io/group/verify.go
+++ b/io/group/verify.go
@@ -33,7 +33,7 @@
 	if !listed {
 		g.logger.Warn("primary no longer listed", "member", primary)
 		g.scheduler.SuspendPrimary(expectedPromotionTime)
-		c.replacePrimary(ctx, failover)
+		c.replacePrimary(ctx, primary, failover)
 		return
 	}
 	var lastErr error
@@ -64,7 +64,7 @@
 		return
 	}
 	g.settings.RefreshMembers()
-	c.replacePrimary(ctx, failover)
+	c.replacePrimary(ctx, primary, failover)
 }
 
 // searchWitnesses asks other instances whether they reach the primary. The channel gets those that do, and is closed when all
