fix: an instance without a configuration does not wait before it fetches the one that others have

Cause: found by reading again. An instance that starts while the store does not serve it learns from others' calls that there is a configuration, and waited 0.8 s for a watch that it does not have. Change: the wait is for instances that have a configuration.

--- a/io/node/peercalls.go
+++ b/io/node/peercalls.go
@@ -64,15 +64,15 @@
 }
 
 // noticeVersion fetches the configuration when another instance reports a newer version than this one has. One fetch runs at
-// a time. It first waits for the version to arrive from the store's watch or a store reader. If it does not, it reads the store, and
-// if the store does not answer, it asks other instances.
+// a time. An instance that has a configuration first waits for the version to arrive from the store's watch or a store reader. If it
+// does not, it reads the store, and if the store does not answer, it asks other instances.
 func (n *Node) noticeVersion(version int64) {
 	if version <= n.configurationVersion() || !n.fetchingConfiguration.CompareAndSwap(false, true) {
 		return
 	}
 	n.goroutines.Go(func() {
 		defer n.fetchingConfiguration.Store(false)
-		if n.storeSync.awaitVersion(n.ctx, version) {
+		if n.configurationVersion() > 0 && n.storeSync.awaitVersion(n.ctx, version) {
 			return
 		}
 		if i, found, err := n.store.Get(n.ctx, n.settings.Formats.ConfigurationKey); err == nil && found {
