fix: a member whose reply is late is checked while the statement waits

Change: when the reply to any statement takes longer than that, the member is probed over a new connection; the statement goes on waiting.

--- a/io/group/group.go
+++ b/io/group/group.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -178,6 +179,18 @@
 	g.wakeController()
 }
 
+// slowReplyTime returns the time after which a reply to a statement of the class is probably lost.
+func (g *Group) slowReplyTime(class place.Class) time.Duration {
+	return max(minAttemptTimeout, attemptTimeoutFactor*g.scheduler.ExpectedServiceTime(class))
+}
+
+// suspectLater has the member checked when the returned timer is not stopped before the reply to a statement of the class is late. A
+// write that may not be repeated waits for its reply until its deadline; the check, over a new connection, finds out meanwhile whether
+// the member is still reached.
+func (g *Group) suspectLater(target types.TargetID, class place.Class) *time.Timer {
+	return time.AfterFunc(g.slowReplyTime(class), func() { g.suspect(target) })
+}
+
 // recordCommit records the position of a commit before its caller gets the reply.
 func (g *Group) recordCommit(position types.LogPosition) {
 	g.mu.Lock()
--- a/io/group/session.go
+++ b/io/group/session.go
@@ -145,7 +145,7 @@
 	g := s.group
 	timeout := g.settings.Clock.Until(slotReq.Deadline)
 	if req.Retryable() {
-		timeout = min(timeout, max(minAttemptTimeout, attemptTimeoutFactor*g.scheduler.ExpectedServiceTime(slotReq.Class)))
+		timeout = min(timeout, g.slowReplyTime(slotReq.Class))
 	}
 	deadline := time.Now().Add(timeout)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
@@ -210,6 +210,7 @@
 		statement.MinPosition = minPosition
 	}
 	sentAt := g.settings.Clock.Now()
+	defer g.suspectLater(grant.Target, req.Class).Stop()
 	replies, err := conn.conn.Exchange(deadline, statement)
 	if err != nil {
 		g.scheduler.ReportFailure(grant.Target)
--- a/io/group/transaction.go
+++ b/io/group/transaction.go
@@ -58,6 +58,7 @@
 		return s.failureReply(req, stmt.RolledBack, "the transaction was rolled back: "+r.Text), false
 	}
 	sentAt := g.settings.Clock.Now()
+	defer g.suspectLater(t.target, req.Class).Stop()
 	replies, err := t.conn.conn.Exchange(deadline, withPreparedName(req.Statement))
 	if err != nil {
 		t.conn.broken = true
