fix: no statement is sent to an owner that does not answer a ping while the database's owner is missing

Change: while the owner is missing, and where an instance has been unresponsive lately, a session is opened there only after it has answered a ping. The instance logs when it begins to refuse requests because no owner is reached, and when one is reached again. Test: TestWriteIsNotSentToAnInstanceThatHasJustTurnedSilent, red without the change (INDOUBT for the second write).

--- a/core/reach/owners.go
+++ b/core/reach/owners.go
@@ -43,6 +43,8 @@
 	bridged bool
 	// searched is set while a search for the owner runs.
 	searched bool
+	// reported is set when RecordFailure has reported that requests are refused.
+	reported bool
 }
 
 // NewOwners returns a record without outages.
@@ -50,8 +52,9 @@
 	return &Owners{clock: c, outages: map[types.DatabaseID]*outage{}}
 }
 
-// RecordFailure records that an attempt that began at the given moment found no owner of the database.
-func (o *Owners) RecordFailure(database types.DatabaseID, began clock.Moment) {
+// RecordFailure records that an attempt that began at the given moment found no owner of the database. It reports whether requests for
+// the database are refused from now on.
+func (o *Owners) RecordFailure(database types.DatabaseID, began clock.Moment) (refusing bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.clock.Now()
@@ -61,22 +64,32 @@
 		o.outages[database] = current
 	}
 	current.lastSeen, current.bridged = now, false
+	refusing = o.unreached(current) && !current.reported
+	current.reported = current.reported || refusing
+	return refusing
 }
 
-// RecordSuccess records that the database's owner has answered.
-func (o *Owners) RecordSuccess(database types.DatabaseID) {
+// RecordSuccess records that the database's owner has answered. It reports whether this ends a time in which requests were refused.
+func (o *Owners) RecordSuccess(database types.DatabaseID) (ended bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	current := o.outages[database]
 	delete(o.outages, database)
+	return current != nil && current.reported
 }
 
-// RecordBridged records that the standby has served a request in place of the database's owner.
-func (o *Owners) RecordBridged(database types.DatabaseID) {
+// RecordBridged records that the standby has served a request in place of the database's owner. It reports whether this ends a time in
+// which requests were refused.
+func (o *Owners) RecordBridged(database types.DatabaseID) (ended bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if current := o.current(database); current != nil {
-		current.lastSeen, current.bridged = o.clock.Now(), true
+	current := o.current(database)
+	if current == nil {
+		return false
 	}
+	ended = current.reported
+	current.lastSeen, current.bridged, current.reported = o.clock.Now(), true, false
+	return ended
 }
 
 // Bridged reports whether the standby of the database's owner lately served in its place, so that it is to be tried first.
@@ -87,6 +100,14 @@
 	return current != nil && current.bridged
 }
 
+// Missing reports whether the last attempt found no owner of the database.
+func (o *Owners) Missing(database types.DatabaseID) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	current := o.current(database)
+	return current != nil && !current.bridged
+}
+
 // Unreached reports whether neither the owner of the database nor its standby has answered for longer than a takeover takes.
 func (o *Owners) Unreached(database types.DatabaseID) bool {
 	o.mu.Lock()
--- a/core/reach/owners_test.go
+++ b/core/reach/owners_test.go
@@ -31,13 +31,17 @@
 		owners.RecordFailure(database, began)
 		require.False(t, owners.Refuse(database))
 		require.False(t, owners.Unreached(database))
+		require.True(t, owners.Missing(database))
 		c.advance(100 * time.Millisecond)
 	}
 	c.advance(200 * time.Millisecond)
 	require.True(t, owners.Refuse(database))
 	require.True(t, owners.Unreached(database))
 	require.False(t, owners.Refuse("other"))
-	owners.RecordSuccess(database)
+	require.True(t, owners.RecordFailure(database, c.now), "requests are refused from now on")
+	require.False(t, owners.RecordFailure(database, c.now), "it has been reported")
+	require.True(t, owners.RecordSuccess(database), "the end of the refusals")
+	require.False(t, owners.RecordSuccess(database))
 	require.False(t, owners.Refuse(database))
 }
 
@@ -50,6 +54,7 @@
 	c.advance(1500 * time.Millisecond)
 	owners.RecordBridged(database)
 	require.False(t, owners.Refuse(database), "the standby serves")
+	require.False(t, owners.Missing(database))
 	require.True(t, owners.Bridged(database))
 	require.False(t, owners.BeginSearch(database))
 	c.advance(4 * time.Second)
--- a/io/node/ownersearch.go
+++ b/io/node/ownersearch.go
@@ -15,7 +15,9 @@
 // recordUnreached records that an attempt that began at the given moment found no owner of the database, and starts a search for it
 // unless one runs. The search shows when the outage is over, so that no request has to be tried for that.
 func (n *Node) recordUnreached(database types.DatabaseID, began clock.Moment) {
-	n.owners.RecordFailure(database, began)
+	if n.owners.RecordFailure(database, began) {
+		n.logger.Warn("owner not reached, requests are refused", "database", database, "since", n.settings.Clock.Since(began).String())
+	}
 	if !n.owners.BeginSearch(database) {
 		return
 	}
@@ -29,11 +31,16 @@
 // recordServed records that the instance has served a request for the database, as its owner or as the standby of an owner that is not
 // reached.
 func (n *Node) recordServed(database types.DatabaseID, instance types.InstanceID) {
-	if record, known := n.directory.owner(database); known && record.Instance != instance {
-		n.owners.RecordBridged(database)
-		return
+	record, known := n.directory.owner(database)
+	ended := false
+	if known && record.Instance != instance {
+		ended = n.owners.RecordBridged(database)
+	} else {
+		ended = n.owners.RecordSuccess(database)
+	}
+	if ended {
+		n.logger.Info("owner reached again", "database", database, "serving", instance)
 	}
-	n.owners.RecordSuccess(database)
 }
 
 // probeOwner asks the instances at which the database's owner may be reached whether they serve it, and records the result.
@@ -55,5 +62,5 @@
 			return
 		}
 	}
-	n.owners.RecordFailure(database, began)
+	n.recordUnreached(database, began)
 }
--- a/io/node/peercalls.go
+++ b/io/node/peercalls.go
@@ -249,8 +249,5 @@
 	if !known {
 		return &wire.Reached{}
 	}
-	probe := pinger{}
-	defer probe.close()
-	_, alive := probe.ping(n.ctx, n, instance.PeerAddress)
-	return &wire.Reached{Alive: alive}
+	return &wire.Reached{Alive: n.answersPing(n.ctx, instance)}
 }
--- a/io/node/pinger.go
+++ b/io/node/pinger.go
@@ -40,6 +40,14 @@
 	return 0, false
 }
 
+// answersPing reports whether the instance answers a single ping.
+func (n *Node) answersPing(ctx context.Context, instance fleet.Instance) bool {
+	single := pinger{}
+	defer single.close()
+	_, alive := single.ping(ctx, n, instance.PeerAddress)
+	return alive
+}
+
 // sendPing opens a channel if there is none, sends one ping and returns the incarnation of the instance that answered.
 func (p *pinger) sendPing(ctx context.Context, n *Node, address string, deadline time.Time) (fleet.Incarnation, error) {
 	if p.channel == nil {
--- a/io/node/router.go
+++ b/io/node/router.go
@@ -93,13 +93,18 @@
 }
 
 // openSession opens a session for the database at another instance. It returns nil when the instance is unknown, is this one,
-// or cannot be reached within channelOpenTimeout.
+// or cannot be reached within channelOpenTimeout. While the owner is missing, and where the
+// instance has been unresponsive recently, it must answer a ping first, so that no write is sent to one that is about to end or behind
+// a silent connection.
 func (r *router) openSession(ctx context.Context, id types.InstanceID, database types.DatabaseID) front.OwnerSession {
 	n := r.node
 	instance, known := n.directory.instance(id)
 	if !known || id == n.settings.Self.ID {
 		return nil
 	}
+	if (n.owners.Missing(database) || n.unresponsive.recently(id)) && !n.answersPing(ctx, instance) {
+		return nil
+	}
 	channel, err := n.openChannel(ctx, instance)
 	if err != nil {
 		return nil
--- a/io/node/unreached_test.go
+++ b/io/node/unreached_test.go
@@ -106,6 +106,36 @@
 	mustSucceed(t, caller, "WRITE a 2")
 }
 
+// TestWriteIsNotSentToAnInstanceThatHasJustTurnedSilent silences the owner and its standby for good. The outcome of the write that is
+// running then is unknown. The next write, over a new session, must be refused as not run: nobody answers there.
+func TestWriteIsNotSentToAnInstanceThatHasJustTurnedSilent(t *testing.T) {
+	site, err := fakepl.NewPlatform(0)
+	require.NoError(t, err)
+	defer site.Close()
+	site.Configure(1, 300)
+	owner, standby, others := awaitStandby(t, site, newDataCentre(t, site, 4))
+	caller, err := fakepl.Dial(others[0].callers, "primary")
+	require.NoError(t, err)
+	defer caller.Close()
+	mustSucceed(t, caller, "WRITE a 1")
+	for _, i := range others {
+		i.disconnected.Store(true)
+	}
+	owner.peers.silent.Store(true)
+	standby.peers.silent.Store(true)
+	r, err := caller.Query("WRITE a 2")
+	require.NoError(t, err)
+	require.Equal(t, "INDOUBT", r.Code, r.Text)
+	r, err = caller.Query("WRITE a 3")
+	require.NoError(t, err)
+	require.Equal(t, "BUSY", r.Code, r.Text)
+	owner.peers.silent.Store(false)
+	standby.peers.silent.Store(false)
+	for _, i := range others {
+		i.disconnected.Store(false)
+	}
+}
+
 // TestStandbyActsAtOnceWhileTheStoreIsSilent silences the owner while calls to the store get no answer for three seconds. The standby
 // must not wait for such a call before it acts.
 func TestStandbyActsAtOnceWhileTheStoreIsSilent(t *testing.T) {
