--- a/io/node/ownersearch.go
+++ b/io/node/ownersearch.go
@@ -31,14 +31,11 @@
 // recordServed records that the instance has served a request for the database, as its owner or as the standby of an owner that is not
 // reached.
 func (n *Node) recordServed(database types.DatabaseID, instance types.InstanceID) {
-	record, known := n.directory.owner(database)
-	ended := false
-	if known && record.Instance != instance {
-		ended = n.owners.RecordBridged(database)
-	} else {
-		ended = n.owners.RecordSuccess(database)
+	record := n.owners.RecordSuccess
+	if owner, known := n.directory.owner(database); known && owner.Instance != instance {
+		record = n.owners.RecordBridged
 	}
-	if ended {
+	if record(database) {
 		n.logger.Info("owner reached again", "database", database, "serving", instance)
 	}
 }
