fix: an instance that becomes the owner ends its outage, and an outage begins after the last answer

The trace shows two faults of core/reach and its use. A standby that became the owner went on searching for another one; when it handed the database over eight seconds later, it refused the first requests at once. And an outage began with the request that found it, though others had been answered since: with answers lost at the member, requests were refused 0.25 s before the takeover. Change: an instance that owns a database records that it is served; an outage begins at the last answer to any request, at the earliest. Tests: TestOutageEndsAtTheInstanceThatBecomesTheOwner and TestOutageBeginsAfterTheLastAnswerToAnotherRequest, red before.

--- a/core/reach/owners.go
+++ b/core/reach/owners.go
@@ -34,6 +34,8 @@
 
 	mu      sync.Mutex
 	outages map[types.DatabaseID]*outage
+	// answeredAt is when the owner of each database last answered.
+	answeredAt map[types.DatabaseID]clock.Moment
 }
 
 // outage is the time during which the owner of a database has not answered this instance.
@@ -49,18 +51,18 @@
 
 // NewOwners returns a record without outages.
 func NewOwners(c clock.Clock) *Owners {
-	return &Owners{clock: c, outages: map[types.DatabaseID]*outage{}}
+	return &Owners{clock: c, outages: map[types.DatabaseID]*outage{}, answeredAt: map[types.DatabaseID]clock.Moment{}}
 }
 
-// RecordFailure records that an attempt that began at the given moment found no owner of the database. It reports whether requests for
-// the database are refused from now on.
+// RecordFailure records that an attempt that began at the given moment found no owner of the database. The outage began then, or at the
+// last answer to another request if that was later. It reports whether requests for the database are refused from now on.
 func (o *Owners) RecordFailure(database types.DatabaseID, began clock.Moment) (refusing bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.clock.Now()
 	current := o.current(database)
 	if current == nil {
-		current = &outage{since: began, lastRequest: now}
+		current = &outage{since: max(began, o.answeredAt[database]), lastRequest: now}
 		o.outages[database] = current
 	}
 	current.lastSeen, current.bridged = now, false
@@ -69,12 +71,13 @@
 	return refusing
 }
 
-// RecordSuccess records that the database's owner has answered. It reports whether this ends a time in which requests were refused.
+// RecordSuccess records that the database's owner has answered, or that this instance is the owner. It reports whether this ends a time in which requests were refused.
 func (o *Owners) RecordSuccess(database types.DatabaseID) (ended bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	current := o.outages[database]
 	delete(o.outages, database)
+	o.answeredAt[database] = o.clock.Now()
 	return current != nil && current.reported
 }
 
--- a/core/reach/owners_test.go
+++ b/core/reach/owners_test.go
@@ -63,6 +63,19 @@
 	require.False(t, owners.Bridged(database))
 }
 
+func TestOutageBeginsAfterTheLastAnswerToAnotherRequest(t *testing.T) {
+	c := newManualClock()
+	owners := reach.NewOwners(c.clock())
+	began := c.now
+	c.advance(time.Second)
+	owners.RecordSuccess(database)
+	c.advance(500 * time.Millisecond)
+	owners.RecordFailure(database, began)
+	require.False(t, owners.Refuse(database), "the owner has answered half a second ago")
+	c.advance(800 * time.Millisecond)
+	require.True(t, owners.Refuse(database))
+}
+
 func TestOutageIsForgottenWithoutFurtherFailures(t *testing.T) {
 	c := newManualClock()
 	owners := reach.NewOwners(c.clock())
--- a/io/node/ownersearch.go
+++ b/io/node/ownersearch.go
@@ -32,7 +32,7 @@
 // reached.
 func (n *Node) recordServed(database types.DatabaseID, instance types.InstanceID) {
 	record := n.owners.RecordSuccess
-	if owner, known := n.directory.owner(database); known && owner.Instance != instance {
+	if owner, known := n.directory.owner(database); known && owner.Instance != instance && instance != n.settings.Self.ID {
 		record = n.owners.RecordBridged
 	}
 	if record(database) {
@@ -42,6 +42,10 @@
 
 // probeOwner asks the instances at which the database's owner may be reached whether they serve it, and records the result.
 func (n *Node) probeOwner(database types.DatabaseID) {
+	if n.ownerships.get(database) != nil {
+		n.recordServed(database, n.settings.Self.ID)
+		return
+	}
 	record, known := n.directory.owner(database)
 	if !known {
 		return
--- a/io/node/router.go
+++ b/io/node/router.go
@@ -43,6 +43,7 @@
 	reread := time.Now().Add(rereadDelay)
 	for {
 		if owned := n.ownerships.get(database); owned != nil {
+			n.recordServed(database, n.settings.Self.ID)
 			return owned.group.NewSession(), nil
 		}
 		if n.owners.Refuse(database) {
--- a/io/node/unreached_test.go
+++ b/io/node/unreached_test.go
@@ -136,6 +136,32 @@
 	}
 }
 
+// TestOutageEndsAtTheInstanceThatBecomesTheOwner silences the owner until its standby, which callers ask meanwhile, has taken the
+// database over. When that hands the database over later, its callers must be served without a refusal.
+func TestOutageEndsAtTheInstanceThatBecomesTheOwner(t *testing.T) {
+	site, err := fakepl.NewPlatform(0)
+	require.NoError(t, err)
+	defer site.Close()
+	site.Configure(1, 1000)
+	owner, standby, _ := awaitStandby(t, site, newDataCentre(t, site, 3))
+	caller, err := fakepl.Dial(standby.callers, "primary")
+	require.NoError(t, err)
+	defer caller.Close()
+	owner.peers.silent.Store(true)
+	began := time.Now()
+	for time.Since(began) < 4*time.Second {
+		_ = fakepl.StatementSucceeds(standby.callers, "primary", "READ a")
+	}
+	require.Equal(t, string(standby.id), ownerOf(site))
+	owner.peers.silent.Store(false)
+	time.Sleep(500 * time.Millisecond)
+	go standby.stop()
+	require.Eventually(t, func() bool { return ownerOf(site) != string(standby.id) }, gracePeriod, time.Millisecond)
+	for range 5 {
+		mustSucceed(t, caller, "READ a")
+	}
+}
+
 // TestStandbyActsAtOnceWhileTheStoreIsSilent silences the owner while calls to the store get no answer for three seconds. The standby
 // must not wait for such a call before it acts.
 func TestStandbyActsAtOnceWhileTheStoreIsSilent(t *testing.T) {
