fix: an owner knows how old a member's notice may be instead of assuming it

The rest of the class was open: an owner that found a notice assumed that it was 2.5 s old and used the member for 2 s more, and one that read a notice late counted from the reading. Cause: the age of a notice was guessed. Clocks of instances cannot be compared, but the store's revisions are the same for all. Change: each instance records when it knew the store at which revision (cover.Timeline). An owner keeps, for each member, the revision of the last read that showed it without a notice, and sends it to its standby and to the next owner at a handover. A leaving primary is used until 6.5 s after the latest moment at which the store had no change after that revision; without such a read it is not used. The revision of the entry itself does not serve: it changes again when the member's role does. The scheduler and the sender of a statement check the end, so that queued statements, and those that wait for a connection, are covered. Evidence: TestNewOwnerDoesNotUseAPrimaryWhoseNoticeMayBeTooOld: last served 7.90 s after the notice before, not served now. TestNextOwnerUsesALeavingPrimaryAsLongAsTheFormerOne: 1.90 s before, 6.44 s now. TestLeavingPrimaryIsUsedForALimitedTime tested the two guesses; it now tests the end of the use in the scheduler itself, to the millisecond.

--- a/core/place/admit.go
+++ b/core/place/admit.go
@@ -54,7 +54,7 @@
 // and the waiter to defer: of the timely ones up to and including that waiter the least important, among equals the longest. It
 // returns nil if none would miss its objective, or if the primary takes no statements.
 func (s *Scheduler) selectDeferral(queue []*waiter, now clock.Moment) (*waiter, time.Duration) {
-	primary := s.activePrimary()
+	primary := s.activePrimary(now)
 	if primary == nil || !primary.usable {
 		return nil, 0
 	}
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -14,7 +14,7 @@
 		}
 		return nil
 	}
-	primary := s.activePrimary()
+	primary := s.activePrimary(now)
 	if !r.AllowReplicas {
 		if primary != nil && primary.accepts(r) {
 			return primary
@@ -35,11 +35,15 @@
 }
 
 // activePrimary returns the primary's state, or nil while no statements may be sent to it.
-func (s *Scheduler) activePrimary() *memberState {
+func (s *Scheduler) activePrimary(now clock.Moment) *memberState {
 	if !s.primaryActive {
 		return nil
 	}
-	return s.members[s.primary]
+	primary := s.members[s.primary]
+	if primary != nil && primary.usableUntil != 0 && now >= primary.usableUntil {
+		return nil
+	}
+	return primary
 }
 
 // bestReplica returns the best replica that can serve the statement now, and whether one has applied the position or will before
--- a/core/place/forecast.go
+++ b/core/place/forecast.go
@@ -37,7 +37,7 @@
 // wouldMissDeadline reports whether a late statement would miss its deadline behind the timely statements that wait and those
 // that arrive meanwhile.
 func (s *Scheduler) wouldMissDeadline(w *waiter, wait time.Duration, now clock.Moment) bool {
-	primary := s.activePrimary()
+	primary := s.activePrimary(now)
 	if primary == nil || !s.needsPrimary(w, now) {
 		return now.Add(lateWaitFactor*wait) > w.request.Deadline
 	}
--- a/core/place/leaving_test.go
+++ b/core/place/leaving_test.go
@@ -11,32 +11,34 @@
 	"turmericpulley/core/types"
 )
 
+// TestLeavingPrimaryIsUsedForALimitedTime sends statements to a leaving primary while nobody suspends it.
 func TestLeavingPrimaryIsUsedForALimitedTime(t *testing.T) {
-	const member = types.TargetID("i-1")
-	for name, c := range map[string]struct {
-		seenBefore bool
-		usedFor    time.Duration
-	}{
-		"notice read by this owner":     {seenBefore: true, usedFor: 4500 * time.Millisecond},
-		"notice read by a former owner": {seenBefore: false, usedFor: 2 * time.Second},
-	} {
-		t.Run(name, func(t *testing.T) {
-			now := clock.Moment(time.Hour)
-			leaving := place.NewLeaving(clock.Manual(func() clock.Moment { return now }))
-			if c.seenBefore {
-				leaving.Update(map[types.TargetID]bool{member: false})
-				now = now.Add(time.Minute)
-				require.True(t, leaving.MayUse(member))
-			}
-			leaving.Update(map[types.TargetID]bool{member: true})
-			now = now.Add(c.usedFor - time.Millisecond)
-			leaving.Update(map[types.TargetID]bool{member: true, "i-2": false})
-			require.True(t, leaving.MayUse(member))
-			require.True(t, leaving.MayUse("i-2"))
-			now = now.Add(2 * time.Millisecond)
-			require.False(t, leaving.MayUse(member))
-			leaving.Update(map[types.TargetID]bool{member: false})
-			require.True(t, leaving.MayUse(member), "another run of the member")
+	const primary = types.TargetID("i-1")
+	const limit = 6500 * time.Millisecond
+	stayed := clock.Moment(time.Hour)
+	now := stayed
+	s := place.NewScheduler(clock.Manual(func() clock.Moment { return now }))
+	serves := func() bool {
+		g, err := s.Acquire(place.SlotRequest{Deadline: now.Add(time.Millisecond), Objective: now.Add(time.Millisecond)})
+		if err != nil {
+			return false
+		}
+		s.Release(g, time.Millisecond, false)
+		return true
+	}
+	members := func(until clock.Moment) {
+		s.SetMembers([]place.Member{
+			{Target: primary, Slots: 2, MaxConnections: 10, Usable: true, UsableUntil: until},
+			{Target: "i-2", Slots: 2, MaxConnections: 10, Usable: true},
 		})
 	}
+	members(place.LastUse(stayed))
+	s.SetPrimary(primary, 1, types.LogPosition{Term: 1, Number: 1}, now)
+	now = stayed.Add(limit - time.Millisecond)
+	require.True(t, serves())
+	now = stayed.Add(limit + time.Millisecond)
+	require.False(t, serves())
+	members(0)
+	require.True(t, serves(), "another run of the member")
+	require.Zero(t, place.LastUse(0), "a notice of unknown age")
 }
--- a/core/place/members.go
+++ b/core/place/members.go
@@ -16,8 +16,9 @@
 	MaxConnections int
 	// SameDataCentre reports whether the member is in the owner's data centre.
 	SameDataCentre bool
-	// Usable reports whether the member takes new statements.
-	Usable bool
+	// Usable reports whether the member takes new statements, and UsableUntil until when; zero means that there is no end.
+	Usable      bool
+	UsableUntil clock.Moment
 }
 
 // SetMembers replaces the members; a member that stays keeps its state.
@@ -33,6 +34,7 @@
 			s.members[m.Target] = state
 		}
 		state.slots, state.maxConnections, state.sameDataCentre, state.usable = m.Slots, m.MaxConnections, m.SameDataCentre, m.Usable
+		state.usableUntil = m.UsableUntil
 	}
 	for target, state := range s.members {
 		if !present[target] {
--- a/core/place/memberstate.go
+++ b/core/place/memberstate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"turmericpulley/core/clock"
 	"turmericpulley/core/types"
 )
 
@@ -22,8 +23,9 @@
 	maxConnections int
 	// sameDataCentre reports whether the member is in the owner's data centre.
 	sameDataCentre bool
-	// usable reports whether the member takes new statements.
+	// usable reports whether the member takes new statements, and usableUntil until when; zero means that there is no end.
 	usable          bool
+	usableUntil     clock.Moment
 	inFlight        int
 	heldConnections int
 	lag             replicationLag
--- a/io/group/failover.go
+++ b/io/group/failover.go
@@ -52,7 +52,7 @@
 	case suspected == primary || !listed:
 		c.verifyPrimary(ctx, primary)
 	case member.Leaving:
-		if !g.mayUseAsPrimary(primary) {
+		if !g.mayUse(primary) {
 			g.logger.Warn("leaving primary gets no statements any more", "member", primary)
 			g.scheduler.SuspendPrimary(expectedPromotionTime)
 		}
@@ -101,7 +101,7 @@
 	}
 	observations := g.probeAll(ctx, g.listMembers())
 	best, found := c.highestTermPrimary(observations)
-	if found && !g.mayUseAsPrimary(best.member.Target) {
+	if found && !g.mayUse(best.member.Target) {
 		c.replacePrimary(ctx, best.member.Target, switchover)
 		return
 	}
--- a/io/group/group.go
+++ b/io/group/group.go
@@ -36,7 +36,6 @@
 	// failover controller is to check.
 	unusable  map[types.TargetID]bool
 	suspected map[types.TargetID]bool
-	leaving   *place.Leaving
 	// primary is the last member that became the active primary, and term its term.
 	primary types.TargetID
 	term    types.Term
@@ -51,7 +50,7 @@
 		settings: s, logger: s.Logger.With("database", s.Database),
 		requestLogger: s.RequestLogger.With("database", s.Database), scheduler: place.NewScheduler(s.Clock),
 		retryBudget: retry.NewBudget(), wakeups: make(chan struct{}, 1), cancel: cancel,
-		pools: map[types.TargetID]*pool{}, unusable: map[types.TargetID]bool{}, suspected: map[types.TargetID]bool{}, leaving: place.NewLeaving(s.Clock),
+		pools: map[types.TargetID]*pool{}, unusable: map[types.TargetID]bool{}, suspected: map[types.TargetID]bool{},
 	}
 	g.scheduler.SuspendPrimary(probeTimeout)
 	controller := &failoverController{group: g}
@@ -104,9 +103,9 @@
 	changed := !slices.Equal(g.members, members)
 	g.members = members
 	var removed []*pool
-	leaving := make(map[types.TargetID]bool, len(members))
+	listed := make(map[types.TargetID]bool, len(members))
 	for _, m := range members {
-		leaving[m.Target] = m.Leaving
+		listed[m.Target] = true
 		if p := g.pools[m.Target]; p != nil {
 			p.updateMember(m)
 		} else {
@@ -114,12 +113,11 @@
 		}
 	}
 	for target, p := range g.pools {
-		if _, listed := leaving[target]; !listed {
+		if !listed[target] {
 			removed = append(removed, p)
 			delete(g.pools, target)
 		}
 	}
-	g.leaving.Update(leaving)
 	g.mu.Unlock()
 	for _, p := range removed {
 		p.closeIdle()
@@ -131,11 +129,10 @@
 	}
 }
 
-// mayUseAsPrimary reports whether the member may get new statements as the primary: it stays, or has not been leaving for too long.
-func (g *Group) mayUseAsPrimary(target types.TargetID) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.leaving.MayUse(target)
+// mayUse reports whether the member may get new statements: it stays, or it has not been leaving for too long.
+func (g *Group) mayUse(target types.TargetID) bool {
+	m, _ := g.member(target)
+	return !m.Leaving || g.settings.Clock.Now() < m.UsableUntil
 }
 
 // updateScheduler passes the members to the scheduler and says which of them take new statements.
@@ -149,7 +146,8 @@
 			Slots:          m.Slots,
 			MaxConnections: g.maxMemberConnections(),
 			SameDataCentre: m.DataCentre == g.settings.Self.DataCentre,
-			Usable:         !g.unusable[m.Target] && (!m.Leaving || m.Target == g.primary),
+			Usable:         !g.unusable[m.Target] && (!m.Leaving || m.Target == g.primary && m.UsableUntil != 0),
+			UsableUntil:    m.UsableUntil,
 		})
 	}
 	g.scheduler.SetMembers(members)
--- a/io/group/session.go
+++ b/io/group/session.go
@@ -180,6 +180,11 @@
 		s.discardAttempt(grant, p, conn)
 		return stmt.Failure(stmt.Overloaded, "the ownership of the database ended"), outcomeNotRun
 	}
+	// Opening the connection may have taken a while.
+	if !g.mayUse(grant.Target) {
+		s.discardAttempt(grant, p, conn)
+		return stmt.Failure(stmt.Overloaded, "the member is leaving"), outcomeNotRun
+	}
 	return s.send(req, grant, p, conn, minPosition, deadline)
 }
 
--- a/io/node/handover.go
+++ b/io/node/handover.go
@@ -124,6 +124,9 @@
 	if !n.sendOffer(ctx, next, owned.database, false) {
 		return false
 	}
+	if err := n.sendEntries(ctx, next, owned.database, m.membersOf(owned.database)); err != nil {
+		n.logger.Debug("members not sent to the next owner", "database", owned.database, "to", next.ID, "error", err)
+	}
 	record := owned.current()
 	if owned.formerLeasesEnded() {
 		record.Record = record.WithoutFormer()
--- a/io/node/leases.go
+++ b/io/node/leases.go
@@ -14,10 +14,13 @@
 	"turmericpulley/io/wire"
 )
 
-// recordsReading is one complete, linearizable read of all owner records: when it was sent, and the revision of each record.
+// recordsReading is one complete, linearizable read of all owner records: when it was sent, and the revisions of the records and of the
+// store.
 type recordsReading struct {
 	sent      clock.Moment
 	revisions map[types.DatabaseID]types.Revision
+	// storeRevision is the revision of the store that the read showed.
+	storeRevision types.Revision
 }
 
 // recordsReader reads all owner records; callers that need them at the same moment share one call to the store.
@@ -73,7 +76,7 @@
 		return recordsReading{}, err
 	}
 	r.failed.set(0)
-	reading := recordsReading{sent: sent, revisions: make(map[types.DatabaseID]types.Revision, len(items))}
+	reading := recordsReading{sent: sent, revisions: make(map[types.DatabaseID]types.Revision, len(items)), storeRevision: revision}
 	for _, item := range items {
 		n.directory.apply(item)
 		reading.revisions[types.DatabaseID(strings.TrimPrefix(item.Key, ownersPrefix))] = item.Revision
--- a/io/node/memberentries.go
+++ b/io/node/memberentries.go
@@ -7,6 +7,7 @@
 
 	"turmericpulley/core/clock"
 	"turmericpulley/core/pause"
+	"turmericpulley/core/place"
 	"turmericpulley/core/routes"
 	"turmericpulley/core/types"
 )
@@ -33,25 +34,41 @@
 	known map[types.TargetID]routes.Member
 	// missingSince is when a known member's entry was first missing from a read.
 	missingSince map[types.TargetID]clock.Moment
+	// stays are the latest proofs that the members had not said yet that they leave, and readRevision is the revision of the last read.
+	stays        map[types.TargetID]stay
+	readRevision types.Revision
+}
+
+// stay is a read of the store, at the revision, that showed a run of a member without a notice that it leaves. It may have been
+// another instance's read: revisions are the same for all, unlike their clocks.
+type stay struct {
+	startedUnixMs int64
+	revision      types.Revision
 }
 
 func newMemberEntries(n *Node) *memberEntries {
 	return &memberEntries{
 		node: n, refreshes: make(chan struct{}, 1),
 		known: map[types.TargetID]routes.Member{}, missingSince: map[types.TargetID]clock.Moment{},
+		stays: map[types.TargetID]stay{},
 	}
 }
 
-// seed adds members that another instance sent. Entries that expired while the store was unavailable reappear only some time
-// after it is available again; until then these members count as missing, not as unknown.
-func (e *memberEntries) seed(members []routes.Member) {
+// seed adds members that another instance sent, and returns them with the end of the use of those that leave. Entries that expired
+// while the store was unavailable reappear only some time after it is available again; until then these members count as missing, not
+// as unknown.
+func (e *memberEntries) seed(members []routes.Member) []routes.Member {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	seeded := make([]routes.Member, 0, len(members))
 	for _, m := range members {
+		m = e.withLastUse(m)
 		if _, known := e.known[m.Target]; !known {
 			e.known[m.Target] = m
 		}
+		seeded = append(seeded, m)
 	}
+	return seeded
 }
 
 // refresh requests a read soon, without waiting for it.
@@ -86,7 +103,7 @@
 // read reads all entries, drops members whose entry has been missing for too long, and passes the members on.
 func (e *memberEntries) read(ctx context.Context) {
 	n := e.node
-	items, _, err := n.store.Range(ctx, n.settings.Formats.MembersPrefix)
+	items, revision, err := n.store.Range(ctx, n.settings.Formats.MembersPrefix)
 	if err != nil {
 		n.logger.Debug("member entries not read", "error", err)
 		return
@@ -98,7 +115,10 @@
 	for _, item := range items {
 		if m, usable := n.settings.Formats.ParseMember(item); usable {
 			present[m.Target] = true
-			e.known[m.Target] = m
+			if !m.Leaving {
+				e.stays[m.Target] = stay{m.StartedUnixMs, revision}
+			}
+			e.known[m.Target] = e.withLastUse(m)
 			delete(e.missingSince, m.Target)
 		}
 	}
@@ -114,11 +134,64 @@
 		if now.Sub(since) > missingGracePeriod {
 			delete(e.known, target)
 			delete(e.missingSince, target)
+			delete(e.stays, target)
 		}
 	}
+	e.readRevision = revision
 	byDatabase := map[types.DatabaseID][]routes.Member{}
 	for _, m := range e.known {
 		byDatabase[m.Database] = append(byDatabase[m.Database], m)
 	}
 	n.ownerships.setMembers(byDatabase)
 }
+
+// withLastUse returns the member with the end of its use if it leaves. The caller holds the lock.
+func (e *memberEntries) withLastUse(m routes.Member) routes.Member {
+	n := e.node
+	if !m.Leaving {
+		return m
+	}
+	last, known := e.stays[m.Target], e.known[m.Target]
+	var stayed clock.Moment
+	if last.startedUnixMs == m.StartedUnixMs {
+		stayed = n.timeline.Before(last.revision)
+	}
+	m.UsableUntil = place.LastUse(stayed)
+	if known.Leaving && known.StartedUnixMs == m.StartedUnixMs && known.UsableUntil >= m.UsableUntil {
+		m.UsableUntil = known.UsableUntil
+		return m
+	}
+	if stayed == 0 {
+		n.logger.Warn("member leaves, age of its notice unknown", "member", m.Target, "stayedAt", last.revision)
+		return m
+	}
+	n.logger.Info("member leaves", "member", m.Target, "stayedAt", last.revision, "maxAge", n.settings.Clock.Since(stayed).String(),
+		"usableFor", n.settings.Clock.Until(m.UsableUntil).String())
+	return m
+}
+
+// stayOf returns the revision at which this run of the member was last known not to leave; zero when there is none.
+func (e *memberEntries) stayOf(m routes.Member) types.Revision {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if last := e.stays[m.Target]; last.startedUnixMs == m.StartedUnixMs {
+		return last.revision
+	}
+	return 0
+}
+
+// recordStay records what another instance has read: the revision at which this run of the member did not leave yet.
+func (e *memberEntries) recordStay(m routes.Member, revision types.Revision) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if last := e.stays[m.Target]; last.startedUnixMs != m.StartedUnixMs || last.revision < revision {
+		e.stays[m.Target] = stay{m.StartedUnixMs, revision}
+	}
+}
+
+// lastRead returns the revision of the last complete read.
+func (e *memberEntries) lastRead() types.Revision {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.readRevision
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"turmericpulley/core/cover"
 	"turmericpulley/core/fleet"
 	"turmericpulley/core/hold"
 	"turmericpulley/core/reach"
@@ -27,7 +28,9 @@
 	directory *directory
 	store     Store
 	// directStore is the store without calls through other instances.
-	directStore           Store
+	directStore Store
+	// timeline shows when the store was at which revision.
+	timeline              *cover.Timeline
 	transport             *peers.Transport
 	ownerships            *ownershipManager
 	memberEntries         *memberEntries
@@ -53,7 +56,9 @@
 	n := &Node{
 		settings: s, logger: s.Logger, routes: routes.NewCurrentTable(), directory: newDirectory(s.Self), ctx: ctx, cancel: cancel,
 	}
-	n.directStore, n.store = s.Store(nil), s.Store(&relay{node: n})
+	n.timeline = &cover.Timeline{}
+	n.directStore = timedStore{s.Store(nil), s.Clock, n.timeline}
+	n.store = timedStore{s.Store(&relay{node: n}), s.Clock, n.timeline}
 	n.memberEntries = newMemberEntries(n)
 	n.unresponsive = newUnresponsive()
 	n.owners = reach.NewOwners(s.Clock)
--- a/io/node/ownership.go
+++ b/io/node/ownership.go
@@ -37,8 +37,11 @@
 	acting bool
 	// standbys are the current standby, with a zero moment, and former ones with the moment of their removal from the record.
 	standbys map[hold.Owner]clock.Moment
-	// sentMembers are the members that were last sent to the current standby.
-	sentMembers []routes.Member
+	// sentMembers are the members that were last sent to the current standby, as the read of their entries at sentRevision showed
+	// them. sending is set while a message to the standby is on its way.
+	sentMembers  []routes.Member
+	sentRevision types.Revision
+	sending      bool
 	// fenced are the former owners that are known to have stopped working for the database.
 	fenced map[hold.Owner]bool
 }
--- a/io/node/readers.go
+++ b/io/node/readers.go
@@ -188,7 +188,11 @@
 	}
 	held, age := milliseconds(followed.GetHeldMs()), milliseconds(followed.GetAgeMs())
 	s.freshness.RecordPeer(sent, held, age)
-	n.ownerships.renewFromReader(followed.GetRecords(), cover.HandedOn(sent, held, milliseconds(followed.GetRecordsAgeMs())))
+	recordsSent := cover.HandedOn(sent, held, milliseconds(followed.GetRecordsAgeMs()))
+	if revision := followed.GetRecordsStoreRevision(); revision != 0 {
+		n.timeline.Record(types.Revision(revision), recordsSent)
+	}
+	n.ownerships.renewFromReader(followed.GetRecords(), recordsSent)
 	return true
 }
 
@@ -232,6 +236,7 @@
 		}
 	}
 	answer.RecordsAgeMs = ageMilliseconds(s.node.settings.Clock.Since(reading.sent))
+	answer.RecordsStoreRevision = uint64(reading.storeRevision)
 }
 
 // ageMilliseconds rounds an age up, so that nothing counts as younger than it is.
--- a/io/node/standby.go
+++ b/io/node/standby.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"turmericpulley/core/clock"
+	"turmericpulley/core/fleet"
 	"turmericpulley/core/hold"
 	"turmericpulley/core/routes"
 	"turmericpulley/core/types"
@@ -108,44 +109,66 @@
 			return
 		}
 		n.logger.Info("standby designated", "database", owned.database, "deputy", instance.ID)
+		owned.mu.Lock()
 		owned.sentMembers = nil
+		owned.mu.Unlock()
 		m.sendMembers(ctx, owned)
 		return
 	}
 }
 
-// sendMembers sends the database's members to the standby when they have changed since they were last sent.
+// sendMembers sends the database's members to the standby, in the background, when they have changed and after each read of their
+// entries, which shows until when they stayed.
 func (m *ownershipManager) sendMembers(ctx context.Context, owned *ownership) {
 	standby := owned.current().Standby
-	members := m.membersOf(owned.database)
-	if standby == nil || len(members) == 0 || slices.Equal(members, owned.sentMembers) {
+	members, revision := m.membersOf(owned.database), m.node.memberEntries.lastRead()
+	if standby == nil || len(members) == 0 {
 		return
 	}
 	instance, known := m.node.directory.instance(standby.Instance)
-	if !known {
+	owned.mu.Lock()
+	defer owned.mu.Unlock()
+	if !known || owned.sending || owned.sentRevision == revision && slices.Equal(members, owned.sentMembers) {
 		return
 	}
-	message := &wire.Arm{Database: string(owned.database)}
+	owned.sending = true
+	m.node.goroutines.Go(func() {
+		err := m.node.sendEntries(ctx, instance, owned.database, members)
+		owned.mu.Lock()
+		defer owned.mu.Unlock()
+		owned.sending = false
+		if err == nil {
+			owned.sentMembers, owned.sentRevision = members, revision
+		}
+	})
+}
+
+// sendEntries sends the members of a database to its standby or next owner.
+func (n *Node) sendEntries(ctx context.Context, to fleet.Instance, database types.DatabaseID, members []routes.Member) error {
+	message := &wire.Arm{Database: string(database)}
 	for _, member := range members {
 		message.Members = append(message.Members, &wire.MemberEntry{
 			Target: string(member.Target), Address: member.Address, DataCentre: string(member.DataCentre), Slots: uint32(member.Slots),
-			Leaving: member.Leaving, Born: member.StartedUnixMs,
+			Leaving: member.Leaving, Born: member.StartedUnixMs, StayedRevision: uint64(n.memberEntries.stayOf(member)),
 		})
 	}
-	if _, err := m.node.call(ctx, instance.PeerAddress, &wire.Call{Kind: &wire.Call_Arm{Arm: message}}); err == nil {
-		owned.sentMembers = members
-	}
+	_, err := n.call(ctx, to.PeerAddress, &wire.Call{Kind: &wire.Call_Arm{Arm: message}})
+	return err
 }
 
-// receiveMembers records the members that the owner of a database has sent to this instance, its standby.
+// receiveMembers records the members that the owner of a database has sent to this instance, its standby or next owner.
 func (m *ownershipManager) receiveMembers(message *wire.Arm) {
 	members := make([]routes.Member, 0, len(message.GetMembers()))
-	for _, member := range message.GetMembers() {
-		members = append(members, routes.Member{
-			Target: types.TargetID(member.GetTarget()), Database: types.DatabaseID(message.GetDatabase()), Address: member.GetAddress(),
-			DataCentre: types.DataCentre(member.GetDataCentre()), Slots: int(member.GetSlots()), Leaving: member.GetLeaving(),
-			StartedUnixMs: member.GetBorn(),
-		})
+	for _, received := range message.GetMembers() {
+		member := routes.Member{
+			Target: types.TargetID(received.GetTarget()), Database: types.DatabaseID(message.GetDatabase()), Address: received.GetAddress(),
+			DataCentre: types.DataCentre(received.GetDataCentre()), Slots: int(received.GetSlots()), Leaving: received.GetLeaving(),
+			StartedUnixMs: received.GetBorn(),
+		}
+		if revision := types.Revision(received.GetStayedRevision()); revision != 0 {
+			m.node.memberEntries.recordStay(member, revision)
+		}
+		members = append(members, member)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -166,10 +189,10 @@
 	}
 	owned := m.newOwnership(database, record)
 	owned.lease, owned.acting = lease, true
+	members = n.memberEntries.seed(members)
 	m.mu.Lock()
 	m.members[database.ID] = members
 	m.mu.Unlock()
-	n.memberEntries.seed(members)
 	n.logger.Info("standby acts as owner", "database", database.ID, "epoch", epoch, "owner", record.Instance, "left", lease.Remaining().String())
 	m.start(database, owned)
 	// A fence request that arrived before start had registered the ownership found nothing to revoke.
