fix: a switchover begins only when a member may be promoted

What callers saw: while the replacement of a leaving primary had to wait for a former owner, most of their statements were refused and open transactions broken off, although the primary was alive and could still be used. Cause: each attempt suspended the primary, waited for the work in flight, closed all connections and held an election, and only then found that the promotion has to wait; then the primary was made active again, about twice a second. Change: a switchover first asks whether a member may be promoted, and leaves the primary alone until then.

--- a/io/group/replace.go
+++ b/io/group/replace.go
@@ -24,12 +24,19 @@
 )
 
 // replacePrimary suspends statements to the old primary and promotes the replica with the longest log. A switchover first
-// waits for the work in flight.
+// waits for the work in flight. It does not begin before a member may be promoted, so that the old primary serves until then.
 func (c *failoverController) replacePrimary(ctx context.Context, old types.TargetID, kind replacementKind) {
 	g := c.group
 	if kind == switchover && !c.hasCandidate(old) {
 		return
 	}
+	if kind == switchover && !g.settings.Ownership.MayPromote(ctx) {
+		g.logger.Warn("switchover delayed, an earlier owner may still serve the database")
+		if _, active := g.scheduler.Primary(); !active {
+			g.scheduler.SuspendPrimary(expectedPromotionTime)
+		}
+		return
+	}
 	g.scheduler.SuspendPrimary(expectedPromotionTime)
 	if c.lostAt == 0 {
 		c.lostAt = g.settings.Clock.Now()
--- a/io/node/leaving_test.go
+++ b/io/node/leaving_test.go
@@ -92,6 +92,27 @@
 	require.Less(t, last.Sub(announced), drainLimit)
 }
 
+// TestLeavingPrimaryServesWithoutPauseWhileItsReplacementIsDelayed lets the primary announce that it leaves while promotions have to
+// wait for former owners.
+func TestLeavingPrimaryServesWithoutPauseWhileItsReplacementIsDelayed(t *testing.T) {
+	site, err := fakepl.NewPlatform(0)
+	require.NoError(t, err)
+	defer site.Close()
+	site.Configure(1, 300)
+	delayPromotions(t, site)
+	instance := startInstance(t, site, "n1")
+	awaitWrite(t, instance.callers)
+	site.Group.Member("i-1").Drain()
+	announced := time.Now()
+	refused := 0
+	for time.Since(announced) < drainLimit-entriesAge-time.Second {
+		if !fakepl.StatementSucceeds(instance.callers, "primary", "WRITE a 1") {
+			refused++
+		}
+	}
+	require.Zero(t, refused)
+}
+
 // delayPromotions stores the record of a dead owner that lacks some former ones, so that the next owner waits until their leases have
 // ended before it promotes a member.
 func delayPromotions(tb testing.TB, site *fakepl.Platform) {
