fix: revisions of a restored store are not taken for earlier ones

Cause: revisions were taken as an order that never goes back. A store that is restored from an older copy gives them out again: items with lower revisions were ignored, writes expected revisions that were lost or belong to another value now, and a watch from a revision that was given out again missed what went before. Change: types.Revision holds the store's era above the number. platform/ reads the era from the header Store-Era, also through other instances, and answers that a watch's history is gone and that an expected revision conflicts when they are of an earlier era. Answers of an earlier era do not count. A watch that waits ends when another call shows a newer era. Test: TestRevisionsOfARestoredStoreAreNotTakenForEarlierOnes, TestWatchEndsWhenAnotherCallShowsARestoration; the stand-in for the store can be restored. TestStoreFailuresAreReportedByKind expected the made-up revision 1 in a write; it now takes the store's own.

--- a/io/fakepl/store.go
+++ b/io/fakepl/store.go
@@ -31,6 +31,8 @@
 	loseResponses     bool
 	withholdResponses bool
 	calls             int
+	// era is sent with each response; it counts the restorations.
+	era uint64
 	// PageSize is the largest number of items in the response to a range request.
 	PageSize int
 	// Promote handles each promote request, with the lease holder, the fencing token, the database and the member. It
@@ -43,7 +45,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{revision: 1, items: map[string]item{}, changed: make(chan struct{}), PageSize: defaultPageSize}
+	return &Store{revision: 1, era: 1, items: map[string]item{}, changed: make(chan struct{}), PageSize: defaultPageSize}
 }
 
 // Put writes a value without conditions, as the operator or a member does.
@@ -79,6 +81,7 @@
 	s.mu.Lock()
 	s.calls++
 	status := s.forcedStatus
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 	s.mu.Unlock()
 	if r.URL.Path == "/promote" {
 		s.servePromote(w, r)
@@ -141,9 +144,16 @@
 	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
 	timeout := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timeout.Stop()
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		if s.forcedStatus != 0 || after < s.compactedRevision {
+		if s.era != era {
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		if s.forcedStatus != 0 || after < s.compactedRevision || after > s.revision {
 			status := s.forcedStatus
 			s.mu.Unlock()
 			if status == 0 {
--- a/io/node/handover_test.go
+++ b/io/node/handover_test.go
@@ -85,13 +85,13 @@
 	received *atomic.Int64
 }
 
-func (c refusableCaller) Call(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+func (c refusableCaller) Call(ctx context.Context, method, path string, body []byte) (node.StoreAnswer, error) {
 	if c.refused.Load() {
-		return http.StatusServiceUnavailable, nil, nil
+		return node.StoreAnswer{Status: http.StatusServiceUnavailable}, nil
 	}
-	status, answer, err := c.StoreCaller.Call(ctx, method, path, body)
-	c.received.Add(int64(len(answer)))
-	return status, answer, err
+	answer, err := c.StoreCaller.Call(ctx, method, path, body)
+	c.received.Add(int64(len(answer.Body)))
+	return answer, err
 }
 
 // testInstance is one instance that the test runs.
--- a/io/node/peercalls.go
+++ b/io/node/peercalls.go
@@ -136,14 +136,13 @@
 // relayResult is the answer of an instance that was asked to call the store.
 type relayResult struct {
 	address string
-	status  int
-	body    []byte
+	answer  StoreAnswer
 	err     error
 }
 
 // Call asks one instance, and the next one after relayHedgeDelay or an unusable answer. It does not ask all at once, since each
 // call to the store has a cost. It returns the first usable answer.
-func (r *relay) Call(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+func (r *relay) Call(ctx context.Context, method, path string, body []byte) (StoreAnswer, error) {
 	n := r.node
 	addresses := n.relayAddresses()
 	answers := make(chan relayResult, len(addresses))
@@ -160,19 +159,19 @@
 				n.goroutines.Go(func() { answers <- n.callThrough(ctx, address, method, path, body) })
 				hedge.Reset(relayHedgeDelay)
 			}
-		case answer := <-answers:
+		case result := <-answers:
 			answered++
-			if answer.err == nil && answer.status != 0 && answer.status != http.StatusServiceUnavailable {
-				n.storeSync.served.record(answer.address, n.settings.Clock.Now())
-				return answer.status, answer.body, nil
+			if status := result.answer.Status; result.err == nil && status != 0 && status != http.StatusServiceUnavailable {
+				n.storeSync.served.record(result.address, n.settings.Clock.Now())
+				return result.answer, nil
 			}
-			if answer.err != nil {
-				lastErr = answer.err
+			if result.err != nil {
+				lastErr = result.err
 			}
 			hedge.Reset(0)
 		}
 	}
-	return 0, nil, errors.Wrap(lastErr, "calling the store through other instances")
+	return StoreAnswer{}, errors.Wrap(lastErr, "calling the store through other instances")
 }
 
 // callThrough asks the instance at the address to call the store.
@@ -181,7 +180,7 @@
 		Method: method, Path: path, Body: body,
 	}}})
 	storeReply := reply.GetStoreReply()
-	return relayResult{address, int(storeReply.GetStatus()), storeReply.GetBody(), err}
+	return relayResult{address, StoreAnswer{int(storeReply.GetStatus()), types.Era(storeReply.GetEra()), storeReply.GetBody()}, err}
 }
 
 // serveChannel handles the calls that another instance sends on one channel, until the channel ends.
@@ -232,11 +231,13 @@
 
 // serveStoreCall calls the store for another instance; status 0 means that the store did not answer.
 func (n *Node) serveStoreCall(call *wire.StoreCall) *wire.CallReply {
-	status, body, err := n.store.CallDirectly(n.ctx, call.GetMethod(), call.GetPath(), call.GetBody())
+	answer, err := n.store.CallDirectly(n.ctx, call.GetMethod(), call.GetPath(), call.GetBody())
 	if err != nil {
-		status = 0
+		answer.Status = 0
 	}
-	return &wire.CallReply{Kind: &wire.CallReply_StoreReply{StoreReply: &wire.StoreReply{Status: uint32(status), Body: body}}}
+	return &wire.CallReply{Kind: &wire.CallReply_StoreReply{StoreReply: &wire.StoreReply{
+		Status: uint32(answer.Status), Body: answer.Body, Era: uint64(answer.Era),
+	}}}
 }
 
 // serveReach answers whether this instance reaches the named one; an empty name means this instance itself.
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -27,7 +27,8 @@
 // Store is a client of the platform's store. Get, Range and Put return faults of the kind StoreUnavailable. Put also returns
 // faults of the kind RevisionConflict. After StoreUnavailable a write may still take effect.
 type Store interface {
-	// Get returns the item and whether it exists, as of a moment after the call was sent.
+	// Get returns the item and whether it exists, as of a moment after the call was sent. Like the others it fails when the store has
+	// been restored from an older copy since it answered.
 	Get(ctx context.Context, key string) (Item, bool, error)
 	// Range returns the items whose keys begin with the prefix, and a revision from which a watch misses nothing.
 	Range(ctx context.Context, prefix string) ([]Item, types.Revision, error)
@@ -35,10 +36,13 @@
 	// there was no change within the wait. An error may mean that the store has dropped the history since the revision; the
 	// range then has to be read again.
 	Watch(ctx context.Context, prefix string, after types.Revision, wait time.Duration) ([]Item, types.Revision, error)
-	// Put writes a value if the key still has the expected revision; zero means that the key must not exist.
+	// Put writes a value if the key still has the expected revision; zero means that the key must not exist. A revision of an earlier
+	// era counts as a conflict, since the store may have given its number out again.
 	Put(ctx context.Context, key string, value []byte, expected types.Revision) (types.Revision, error)
 	// CallDirectly makes a call to the store for another instance, which cannot reach the store. It does not relay the call.
-	CallDirectly(ctx context.Context, method, path string, body []byte) (status int, answer []byte, err error)
+	CallDirectly(ctx context.Context, method, path string, body []byte) (StoreAnswer, error)
+	// Era returns the newest era of the store that an answer has shown.
+	Era() types.Era
 }
 
 // Formats are the keys and parsers of the values that the operator and the members write into the store.
@@ -85,5 +89,12 @@
 
 // StoreCaller makes a call to the store, directly or through another instance.
 type StoreCaller interface {
-	Call(ctx context.Context, method, path string, body []byte) (status int, answer []byte, err error)
+	Call(ctx context.Context, method, path string, body []byte) (StoreAnswer, error)
+}
+
+// StoreAnswer is the answer of the store to one call: its HTTP status and body, and the era of the store.
+type StoreAnswer struct {
+	Status int
+	Era    types.Era
+	Body   []byte
 }
