fix: a database keeps its owner, or gets another, when the store is restored from an older copy

What callers saw: after a restoration of the store, databases whose owners died were not served again; every instance logged 'database not claimed ... has another revision than expected' up to 112 times a second, and callers waited for their deadlines. Cause: the directory kept the lost records, whose revisions no write could match, and a record that goes back names an earlier owner and lacks former ones and promotions. An owner whose record was lost went on until somebody else claimed the database. Change: the directory keeps the last known record of a database that the store lost, with the revision that the store holds instead. Its owner or acting standby writes it again, a claim for a dead owner starts from it. Entries of instances stay as well, and each writes its own again. A record names the era in which it was written and the one since which it lists all owners and promotions: while it may lack some, no member is promoted until lost leases have ended, and a new owner opens no primary for 2 s; what cannot wait so long is refused at once. Reads of the first 2.5 s of an era do not prove that a member stays.

--- a/core/hold/lease_test.go
+++ b/core/hold/lease_test.go
@@ -110,3 +110,18 @@
 		{Instance: "a", Incarnation: 5}, {Instance: "b", Incarnation: 5}, {Instance: "c", Incarnation: 5}, {Instance: "s", Incarnation: 5},
 	}, r.Former)
 }
+
+func TestRecordOfARestoredStoreMayLackFormerOwners(t *testing.T) {
+	const first, second = types.Era(1), types.Era(2)
+	a, b := fleet.Instance{ID: "a", Incarnation: 1}, fleet.Instance{ID: "b", Incarnation: 2}
+	r := hold.Record{}.WithOwner(a).WrittenIn(first, false)
+	require.False(t, r.IsFromCopy(first))
+	require.False(t, r.LacksFormer(first), "nothing can have been lost before the first record")
+	require.True(t, r.IsFromCopy(second))
+	require.True(t, r.LacksFormer(second))
+	claimed := r.WithOwner(b).WrittenIn(second, false)
+	require.False(t, claimed.IsFromCopy(second))
+	require.True(t, claimed.LacksFormer(second), "a lost owner may still work")
+	require.False(t, claimed.WrittenIn(second, true).LacksFormer(second))
+	require.False(t, hold.Record{}.IsFromCopy(second), "written before eras were recorded")
+}
--- a/core/hold/record.go
+++ b/core/hold/record.go
@@ -27,6 +27,10 @@
 	Standby *Owner `json:"deputy,omitempty"`
 	// Promotion is the last promotion that an owner intended; the owner records it before it asks for the promotion.
 	Promotion *Promotion `json:"promotion,omitempty"`
+	// Era is the era of the store in which the record was written, and FormerEra the one since whose beginning it lists all owners and
+	// promotions. Those of earlier eras may be lost. Both are zero in a record that was written before eras were recorded.
+	Era       types.Era `json:"era,omitempty"`
+	FormerEra types.Era `json:"formerEra,omitempty"`
 }
 
 // Promotion is the intent to promote a member to the primary of a new term.
@@ -65,7 +69,9 @@
 // WithOwner returns the record with a new owner and without a standby. The old owner and its standby join Former. Only the latest run
 // of each instance is listed, and none of the new owner's own instance, because a run has ended when the next one begins.
 func (r Record) WithOwner(next fleet.Instance) Record {
-	updated := Record{Owner: Owner{next.ID, next.Incarnation}, Promotion: r.Promotion, FormerOmitted: r.FormerOmitted}
+	updated := Record{
+		Owner: Owner{next.ID, next.Incarnation}, Promotion: r.Promotion, FormerOmitted: r.FormerOmitted, Era: r.Era, FormerEra: r.FormerEra,
+	}
 	former := append([]Owner{r.Owner}, r.Former...)
 	if r.Standby != nil {
 		former = append([]Owner{*r.Standby}, former...)
@@ -99,3 +105,18 @@
 	r.Former, r.FormerOmitted = nil, false
 	return r
 }
+
+// IsFromCopy reports whether a store of the era holds the record only because it was restored from a copy that contained it.
+func (r Record) IsFromCopy(era types.Era) bool { return r.Era != 0 && r.Era < era }
+
+// LacksFormer reports whether owners and promotions of an era before the given one may be missing from the record.
+func (r Record) LacksFormer(era types.Era) bool { return r.FormerEra != 0 && r.FormerEra < era }
+
+// WrittenIn returns the record as it is written in the era. complete says that no owner or promotion of an earlier era matters any more.
+func (r Record) WrittenIn(era types.Era, complete bool) Record {
+	r.Era = era
+	if complete || r.FormerEra == 0 {
+		r.FormerEra = era
+	}
+	return r
+}
--- a/io/group/failover.go
+++ b/io/group/failover.go
@@ -99,6 +99,11 @@
 	if c.lostAt == 0 {
 		c.lostAt = now
 	}
+	if left := g.settings.Ownership.UnknownPromotions(); left > 0 && g.currentTerm() == 0 {
+		// A member that is the primary now may lose what it commits until then.
+		g.scheduler.SuspendPrimary(left)
+		return
+	}
 	observations := g.probeAll(ctx, g.listMembers())
 	best, found := c.highestTermPrimary(observations)
 	if found && !g.mayUse(best.member.Target) {
--- a/io/group/promoter.go
+++ b/io/group/promoter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"turmericpulley/core/hold"
 	"turmericpulley/core/types"
@@ -37,6 +38,8 @@
 	// RecordPromotion records in the store that the member is about to be promoted, and returns the fencing token of the
 	// promotion.
 	RecordPromotion(ctx context.Context, promotion hold.Promotion) (types.Epoch, error)
+	// UnknownPromotions returns for how long a promotion may still take effect that the record does not list; zero when it lists all.
+	UnknownPromotions() time.Duration
 	// RecordedPromotion returns the last promotion that an owner recorded, or nil.
 	RecordedPromotion() *hold.Promotion
 }
--- a/io/node/claim.go
+++ b/io/node/claim.go
@@ -22,7 +22,9 @@
 		// The standby and a restarted owner need not wait for other candidates.
 		rank = 0
 	}
-	if known && !m.detector.isDead(record.Owner, m.monitorRank(database.ID, rank)) {
+	// An instance that the lost record of a restored store names as the owner, but that had not started to serve, claims the database.
+	isLostOwner := known && record.lost && record.IsOwnedBy(m.node.settings.Self)
+	if known && !isLostOwner && !m.detector.isDead(record.Owner, m.monitorRank(database.ID, rank)) {
 		m.mu.Lock()
 		delete(m.ownerlessSince, database.ID)
 		m.mu.Unlock()
@@ -69,6 +71,10 @@
 // adopts the database. It reports whether the store answered the write or this read.
 func (m *ownershipManager) claim(ctx context.Context, database routes.Database, record ownerRecord) bool {
 	n := m.node
+	if era, _ := n.eras.current(); record.Instance == "" && n.eras.restoredWithin(hold.LeaseDuration) {
+		// The restored store may have lost a record.
+		record.FormerEra = era - 1
+	}
 	next := record.handedTo(n.settings.Self)
 	owned := m.newOwnership(database, next)
 	sent := n.settings.Clock.Now()
@@ -97,22 +103,39 @@
 	if err != nil || !record.IsOwnedBy(n.settings.Self) {
 		return
 	}
-	next := ownerRecord{record, item.Revision}
+	next := ownerRecord{Record: record, revision: item.Revision}
 	owned := m.newOwnership(database, next)
 	owned.renew(next, sent)
 	n.logger.Info("database taken over", "database", database.ID, "epoch", owned.lease.Epoch())
 	m.start(database, owned)
 }
 
-// restoreRecord writes the owner record again after the store has dropped it.
-func (m *ownershipManager) restoreRecord(ctx context.Context, owned *ownership) {
+// restoreRecord writes the owner record again after the store has dropped it, or has been restored from a copy that holds an older one
+// at the revision.
+func (m *ownershipManager) restoreRecord(ctx context.Context, owned *ownership, revision types.Revision) {
 	n := m.node
-	n.logger.Warn("owner record is missing from the store, writing it again", "database", owned.database)
+	n.logger.Warn("owner record is missing from the store, writing it again", "database", owned.database, "instead", uint64(revision))
 	next := owned.current()
-	next.revision = 0
+	next.revision = revision
 	if err := owned.writeRecord(ctx, next, n.settings.Clock.Now()); err != nil {
 		n.logger.Warn("owner record not written", "database", owned.database, "error", err)
 		m.rereadRecord(ctx, owned.database)
 		pause.For(ctx, reconcileInterval)
 	}
 }
+
+// completeRecord writes the record once owners of an earlier era, which it may lack, cannot work for the database any more. An owner that
+// starts later then need not wait for them.
+func (m *ownershipManager) completeRecord(ctx context.Context, owned *ownership) {
+	n := m.node
+	record := owned.current()
+	era, _ := n.eras.current()
+	if !record.LacksFormer(era) || n.eras.age() <= hold.LeaseDuration {
+		return
+	}
+	if err := owned.writeRecord(ctx, record, n.settings.Clock.Now()); err != nil {
+		n.logger.Warn("owner record not written", "database", owned.database, "error", err)
+		m.rereadRecord(ctx, owned.database)
+		pause.For(ctx, reconcileInterval)
+	}
+}
--- a/io/node/directory.go
+++ b/io/node/directory.go
@@ -24,6 +24,8 @@
 	instances map[types.InstanceID]fleet.Instance
 	// items are the newest values by key. Deleted ones stay, so that followers learn of the deletion.
 	items map[string]Item
+	// era is the newest era of the store of which an item is known.
+	era types.Era
 	// recent are the latest changes, and droppedRevision is the newest revision of a change that is no longer among them.
 	recent          []Item
 	droppedRevision types.Revision
@@ -43,19 +45,21 @@
 	}
 }
 
-// apply records an item of the store unless the same or a newer one is known. It reports whether the item says that this
-// instance's own entry was deleted.
+// apply records an item of the store unless the same or a newer one is known, or the item is of an earlier era, in which case the
+// store may have lost it. It reports whether the item says that this instance's own entry was deleted.
 func (d *directory) apply(item Item) (ownMissing bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if item.Revision <= d.items[item.Key].Revision {
+	if item.Revision <= d.items[item.Key].Revision || item.Revision.Era() < d.era {
 		return false
 	}
+	d.era = item.Revision.Era()
+	previous := d.items[item.Key].Revision
 	d.items[item.Key] = item
 	d.recordRecent(item)
 	defer d.notify()
 	if id, found := strings.CutPrefix(item.Key, instancesPrefix); found {
-		return d.applyInstance(types.InstanceID(id), item)
+		return d.applyInstance(types.InstanceID(id), item, previous)
 	}
 	if database, found := strings.CutPrefix(item.Key, ownersPrefix); found {
 		d.applyOwner(types.DatabaseID(database), item)
@@ -64,11 +68,15 @@
 }
 
 // applyInstance records the entry of another instance; one that cannot be parsed counts as deleted. For this instance's own
-// entry it only reports whether it was deleted. The caller holds the lock.
-func (d *directory) applyInstance(id types.InstanceID, item Item) (ownMissing bool) {
+// entry it only reports whether it was deleted. An entry that the store has lost stays, because its instance writes it again. The
+// caller holds the lock.
+func (d *directory) applyInstance(id types.InstanceID, item Item, previous types.Revision) (ownMissing bool) {
 	if id == d.self.ID {
 		return item.Deleted
 	}
+	if item.Deleted && previous.Era() < item.Revision.Era() {
+		return false
+	}
 	d.sortedInstances, d.localReaders = nil, nil
 	instance := fleet.Instance{}
 	if item.Deleted || json.Unmarshal(item.Value, &instance) != nil || instance.ID != id {
@@ -81,14 +89,27 @@
 	return false
 }
 
-// applyOwner records the owner record of a database; one that cannot be parsed counts as deleted. The caller holds the lock.
+// applyOwner records the owner record of a database; one that cannot be parsed counts as deleted. A record that the store has lost
+// stays until an instance writes another one. The caller holds the lock.
 func (d *directory) applyOwner(database types.DatabaseID, item Item) {
 	record, err := hold.Decode(item.Value)
-	if item.Deleted || err != nil {
-		delete(d.owners, database)
-		return
+	era := item.Revision.Era()
+	known, found := d.owners[database]
+	mayBeLost := found && (known.lost || known.revision.Era() < era)
+	switch {
+	case item.Deleted || err != nil:
+		if !mayBeLost {
+			delete(d.owners, database)
+			return
+		}
+		known.lost, known.revision = true, 0
+		d.owners[database] = known
+	case mayBeLost && record.IsFromCopy(era) && (known.lost || known.revision.Number() > item.Revision.Number()):
+		known.lost, known.revision = true, item.Revision
+		d.owners[database] = known
+	default:
+		d.owners[database] = ownerRecord{Record: record, revision: item.Revision}
 	}
-	d.owners[database] = ownerRecord{record, item.Revision}
 }
 
 // dropMissing records as deleted the items with the prefix that a complete read of the store at the revision did not contain.
@@ -110,6 +131,16 @@
 	}
 }
 
+// dropLost records as deleted the item of a key that a store of the era does not hold, if the item is of an earlier era.
+func (d *directory) dropLost(key string, era types.Era) {
+	d.mu.Lock()
+	known, found := d.items[key]
+	d.mu.Unlock()
+	if found && !known.Deleted && known.Revision.Era() < era {
+		d.apply(Item{Key: key, Revision: types.NewRevision(era, 0), Deleted: true})
+	}
+}
+
 // recordRecent adds a change to the latest ones. The caller holds the lock.
 func (d *directory) recordRecent(item Item) {
 	d.recent = append(d.recent, item)
--- a/io/node/fleetsync.go
+++ b/io/node/fleetsync.go
@@ -16,7 +16,13 @@
 	n := s.node
 	incomplete := false
 	backoff := newBackoff()
+	var era types.Era
 	for ctx.Err() == nil {
+		if current, _ := n.eras.current(); current != era {
+			// The store may have lost this instance's entry, and everything else that was written lately.
+			era, incomplete = current, true
+			s.entryPublished.Store(false)
+		}
 		after := types.Revision(s.fleetRevision.Load())
 		if after == 0 || incomplete && !s.leavesStoreToReaders() {
 			incomplete = !s.readFleet(ctx, backoff)
--- a/io/node/handover.go
+++ b/io/node/handover.go
@@ -131,7 +131,7 @@
 	if owned.formerLeasesEnded() {
 		record.Record = record.WithoutFormer()
 	}
-	stored, err := owned.putRecord(ctx, record.handedTo(next))
+	stored, err := owned.putRecord(ctx, owned.stamped(record.handedTo(next)))
 	n.logger.Info("database handover attempted", "database", owned.database, "to", next.ID, "error", err)
 	if err != nil {
 		// A write whose answer was lost may have taken effect; the record then names its owner.
--- a/io/node/leases.go
+++ b/io/node/leases.go
@@ -148,7 +148,7 @@
 func (m *ownershipManager) renewLease(database types.DatabaseID, revision types.Revision, sent clock.Moment) bool {
 	n := m.node
 	record, known := n.directory.owner(database)
-	if !known || record.revision != revision {
+	if !known || record.lost || record.revision != revision {
 		return false
 	}
 	owned := m.get(database)
--- a/io/node/memberentries.go
+++ b/io/node/memberentries.go
@@ -115,8 +115,13 @@
 	for _, item := range items {
 		if m, usable := n.settings.Formats.ParseMember(item); usable {
 			present[m.Target] = true
-			if !m.Leaving {
+			switch known := e.known[m.Target]; {
+			case m.Leaving:
+			case !n.eras.restoredWithin(missingGracePeriod):
 				e.stays[m.Target] = stay{m.StartedUnixMs, revision}
+			case known.Leaving && known.StartedUnixMs == m.StartedUnixMs:
+				// The store was restored from a copy without the notice, which is written again.
+				m.Leaving = true
 			}
 			e.known[m.Target] = e.withLastUse(m)
 			delete(e.missingSince, m.Target)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -29,6 +29,7 @@
 	store     Store
 	// directStore is the store without calls through other instances.
 	directStore Store
+	eras        *eraWatch
 	// timeline shows when the store was at which revision.
 	timeline              *cover.Timeline
 	transport             *peers.Transport
@@ -59,6 +60,7 @@
 	n.timeline = &cover.Timeline{}
 	n.directStore = timedStore{s.Store(nil), s.Clock, n.timeline}
 	n.store = timedStore{s.Store(&relay{node: n}), s.Clock, n.timeline}
+	n.eras = &eraWatch{store: n.store, clock: s.Clock, logger: s.Logger}
 	n.memberEntries = newMemberEntries(n)
 	n.unresponsive = newUnresponsive()
 	n.owners = reach.NewOwners(s.Clock)
@@ -168,10 +170,13 @@
 type ownerRecord struct {
 	hold.Record
 	revision types.Revision
+	// lost is set when the store has been restored from an older copy. The record is then the last one that is known, and the revision
+	// that of the older one that the store holds instead, zero when it holds none.
+	lost bool
 }
 
 // handedTo returns the record that replaces this one and names next as the owner. It keeps the revision, on which the write
 // is conditional.
 func (o ownerRecord) handedTo(next fleet.Instance) ownerRecord {
-	return ownerRecord{o.WithOwner(next), o.revision}
+	return ownerRecord{Record: o.WithOwner(next), revision: o.revision}
 }
--- a/io/node/ownership.go
+++ b/io/node/ownership.go
@@ -55,7 +55,7 @@
 // MayPromote reports whether no standby and no former owner can work for the database any more. It asks those whose leases may
 // still be valid to stop. An acting standby may never promote.
 func (o *ownership) MayPromote(ctx context.Context) bool {
-	if o.isActing() || !o.standbysStopped(ctx) {
+	if o.isActing() || !o.standbysStopped(ctx) || o.lacksFormer() {
 		return false
 	}
 	o.mu.Lock()
@@ -71,9 +71,61 @@
 	return allStopped
 }
 
+// lacksFormer reports whether the store has been restored lately and has lost owners, whose leases may still last, that the record does
+// not list.
+func (o *ownership) lacksFormer() bool { return o.lossesLastFor(hold.LeaseDuration) > 0 }
+
+// lossesLastFor returns how much is left of the period from the restoration of the store, if the record may lack something that was
+// written before.
+func (o *ownership) lossesLastFor(period time.Duration) time.Duration {
+	if era, _ := o.node.eras.current(); !o.current().LacksFormer(era) {
+		return 0
+	}
+	return max(0, period-o.node.eras.age())
+}
+
+// promotionSettleTime is how long after the loss of its record a promotion may still take effect: it is requested as soon as the record
+// is stored, the call may take 1 s, and so may the promotion.
+const promotionSettleTime = 2 * time.Second
+
+// UnknownPromotions returns for how long a promotion may still take effect that a restored store has lost. There is none while this
+// instance acts as the standby, which is removed from the record before a promotion.
+func (o *ownership) UnknownPromotions() time.Duration {
+	if o.isActing() {
+		return 0
+	}
+	return o.lossesLastFor(promotionSettleTime)
+}
+
+// stamped returns the record as it is written in the current era of the store.
+func (o *ownership) stamped(record ownerRecord) ownerRecord {
+	era, _ := o.node.eras.current()
+	record.Record = record.WrittenIn(era, o.node.eras.age() > hold.LeaseDuration)
+	return record
+}
+
+// isSuperseded reports whether the record, the last one known, names another owner than this ownership knows.
+func (o *ownership) isSuperseded(record ownerRecord) bool {
+	current := o.current()
+	if record.lost {
+		return record.Owner != current.Owner
+	}
+	return !record.IsOwnedBy(o.node.settings.Self) && record.revision > current.revision
+}
+
+// rebase makes the next write replace the record at the revision, zero for none, that a restored store holds instead of this one.
+func (o *ownership) rebase(revision types.Revision) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.record.revision = revision
+}
+
 // formerLeasesEnded reports whether this instance has owned the database for so long that no lease of a former owner or standby
 // lasts any more.
 func (o *ownership) formerLeasesEnded() bool {
+	if o.lacksFormer() {
+		return false
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return !o.acting && o.node.settings.Clock.Since(o.acquired) > hold.LeaseDuration
@@ -125,6 +177,7 @@
 // writeRecord replaces the owner record if the store still holds the revision that next carries, and renews the lease from the
 // moment sent, at which the call began.
 func (o *ownership) writeRecord(ctx context.Context, next ownerRecord, sent clock.Moment) error {
+	next = o.stamped(next)
 	stored, err := o.putRecord(ctx, next)
 	if err != nil {
 		return o.resolveConflict(ctx, next, stored.Value, sent, err)
--- a/io/node/ownershipmanager.go
+++ b/io/node/ownershipmanager.go
@@ -105,25 +105,31 @@
 		record, known := m.node.directory.owner(id)
 		owned := m.get(id)
 		switch {
-		case owned != nil && known && !record.IsOwnedBy(m.node.settings.Self) && record.revision > owned.current().revision:
+		case owned != nil && known && owned.isSuperseded(record):
 			m.endOwnership(owned, record)
 		case owned != nil && owned.isActing():
 			if !owned.lease.Valid() {
 				m.endOwnership(owned, record)
 				continue
 			}
+			if known && record.lost {
+				owned.rebase(record.revision)
+			}
 			m.becomeOwner(ctx, owned)
+		case owned != nil && known && record.lost:
+			m.restoreRecord(ctx, owned, record.revision)
 		case owned != nil:
 			if known && record.IsOwnedBy(m.node.settings.Self) {
 				owned.updateRecord(record)
 			}
 			if !known {
-				m.restoreRecord(ctx, owned)
+				m.restoreRecord(ctx, owned, 0)
 			}
+			m.completeRecord(ctx, owned)
 			m.moveNearPrimary(ctx, owned)
 			m.designateStandby(ctx, owned)
 			m.sendMembers(ctx, owned)
-		case known && record.IsOwnedBy(m.node.settings.Self):
+		case known && record.IsOwnedBy(m.node.settings.Self) && !record.lost:
 			m.adopt(ctx, database)
 		default:
 			m.claimIfOwnerless(ctx, database, record, known)
@@ -182,8 +188,12 @@
 // rereadRecord reads the owner record of a database from the store and reports whether the store answered.
 func (m *ownershipManager) rereadRecord(ctx context.Context, database types.DatabaseID) bool {
 	item, found, err := m.node.store.Get(ctx, ownerKey(database))
-	if err == nil && found {
+	switch {
+	case err != nil:
+	case found:
 		m.node.directory.apply(item)
+	default:
+		m.node.directory.dropLost(ownerKey(database), m.node.store.Era())
 	}
 	return err == nil
 }
