--- a/io/node/ownershipmanager.go
+++ b/io/node/ownershipmanager.go
@@ -105,30 +105,8 @@
 		record, known := m.node.directory.owner(id)
 		owned := m.get(id)
 		switch {
-		case owned != nil && known && owned.isSuperseded(record):
-			m.endOwnership(owned, record)
-		case owned != nil && owned.isActing():
-			if !owned.lease.Valid() {
-				m.endOwnership(owned, record)
-				continue
-			}
-			if known && record.lost {
-				owned.rebase(record.revision)
-			}
-			m.becomeOwner(ctx, owned)
-		case owned != nil && known && record.lost:
-			m.restoreRecord(ctx, owned, record.revision)
 		case owned != nil:
-			if known && record.IsOwnedBy(m.node.settings.Self) {
-				owned.updateRecord(record)
-			}
-			if !known {
-				m.restoreRecord(ctx, owned, 0)
-			}
-			m.completeRecord(ctx, owned)
-			m.moveNearPrimary(ctx, owned)
-			m.designateStandby(ctx, owned)
-			m.sendMembers(ctx, owned)
+			m.reconcileOwned(ctx, owned, record, known)
 		case known && record.IsOwnedBy(m.node.settings.Self) && !record.lost:
 			m.adopt(ctx, database)
 		default:
@@ -137,6 +115,32 @@
 	}
 }
 
+// reconcileOwned brings an ownership, or the work as a standby, in line with the owner record.
+func (m *ownershipManager) reconcileOwned(ctx context.Context, owned *ownership, record ownerRecord, known bool) {
+	switch {
+	case known && owned.isSuperseded(record), owned.isActing() && !owned.lease.Valid():
+		m.endOwnership(owned, record)
+	case owned.isActing():
+		if known && record.lost {
+			owned.rebase(record.revision)
+		}
+		m.becomeOwner(ctx, owned)
+	case known && record.lost:
+		m.restoreRecord(ctx, owned, record.revision)
+	default:
+		if known && record.IsOwnedBy(m.node.settings.Self) {
+			owned.updateRecord(record)
+		}
+		if !known {
+			m.restoreRecord(ctx, owned, 0)
+		}
+		m.completeRecord(ctx, owned)
+		m.moveNearPrimary(ctx, owned)
+		m.designateStandby(ctx, owned)
+		m.sendMembers(ctx, owned)
+	}
+}
+
 // newOwnership returns an ownership with the record and an expired lease, so that it gives no right to work yet.
 func (m *ownershipManager) newOwnership(database routes.Database, record ownerRecord) *ownership {
 	n := m.node
