--- a/io/soak/plan_test.go
+++ b/io/soak/plan_test.go
@@ -31,11 +31,12 @@
 	exitTimeout = 5 * time.Second
 )
 
-func newPlan(seed uint64, plannedOnly bool) *plan {
+func newPlan(seed uint64, plannedOnly bool, more ...fault) *plan {
 	p := &plan{random: rand.New(rand.NewPCG(seed, 1)), faults: plannedOperations}
 	if !plannedOnly {
 		p.faults = append(append([]fault{}, plannedOperations...), unplannedFaults...)
 	}
+	p.faults = append(p.faults, more...)
 	return p
 }
 
@@ -178,3 +179,13 @@
 		})
 	}},
 }
+
+// restoration brings the store back from a copy of some seconds ago. The operator and the members write their values again.
+var restoration = fault{"store is restored from a copy", func(env *environment, r *rand.Rand) {
+	copied := env.platform.Store.Copy()
+	time.Sleep(2 * randomDuration(r))
+	env.platform.Store.ForceStatus(http.StatusServiceUnavailable)
+	time.Sleep(randomDuration(r) / 8)
+	env.platform.Store.Restore(copied, "op/", "servers/")
+	env.platform.Store.ForceStatus(0)
+}}
--- a/io/soak/soak_test.go
+++ b/io/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -43,6 +44,22 @@
 	}
 }
 
+// restorationWeight is how much more often than each other fault the store is restored in TestGuaranteesHoldWhenTheStoreIsRestored.
+const restorationWeight = 6
+
+// TestGuaranteesHoldWhenTheStoreIsRestored adds restorations of the store from older copies to the random faults.
+func TestGuaranteesHoldWhenTheStoreIsRestored(t *testing.T) {
+	first := *firstSeed
+	if first == 0 {
+		first = uint64(time.Now().UnixNano())
+	}
+	for i := range uint64(*seedCount) {
+		t.Run(fmt.Sprintf("seed %d", first+i), func(t *testing.T) {
+			runSeed(t, first+i, false, slices.Repeat([]fault{restoration}, restorationWeight)...)
+		})
+	}
+}
+
 // recoveryTimeout is the time within which every instance must serve again after the faults are over.
 const recoveryTimeout = 12 * time.Second
 
@@ -51,10 +68,10 @@
 const configurationTimeout = 3 * time.Second
 
 // runSeed runs callers while the faults of the seed are injected, and checks what they observed.
-func runSeed(t *testing.T, seed uint64, plannedOnly bool) {
+func runSeed(t *testing.T, seed uint64, plannedOnly bool, more ...fault) {
 	t.Helper()
 	env := newEnvironment(t, *instanceCount)
-	p := newPlan(seed, plannedOnly)
+	p := newPlan(seed, plannedOnly, more...)
 	t.Logf("seed %d: %s", seed, p)
 	c := newCallers(env, seed)
 	p.run(env, *faultPeriod)
