--- a/io/node/memberentries.go
+++ b/io/node/memberentries.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -194,6 +195,18 @@
 	}
 }
 
+// forgetStays forgets the former members that are not among the present ones and that this instance has not read itself.
+func (e *memberEntries) forgetStays(former, present []routes.Member) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, m := range former {
+		_, known := e.known[m.Target]
+		if !known && !slices.ContainsFunc(present, func(other routes.Member) bool { return other.Target == m.Target }) {
+			delete(e.stays, m.Target)
+		}
+	}
+}
+
 // lastRead returns the revision of the last complete read.
 func (e *memberEntries) lastRead() types.Revision {
 	e.mu.Lock()
--- a/io/node/standby.go
+++ b/io/node/standby.go
@@ -171,8 +171,10 @@
 		members = append(members, member)
 	}
 	m.mu.Lock()
-	defer m.mu.Unlock()
+	previous := m.receivedMembers[types.DatabaseID(message.GetDatabase())]
 	m.receivedMembers[types.DatabaseID(message.GetDatabase())] = members
+	m.mu.Unlock()
+	m.node.memberEntries.forgetStays(previous, members)
 }
 
 // actAsStandby starts to work in place of a dead owner when this instance is its standby and its standby lease is valid. It
