fix: a statement that waits for a connection does not keep its owner from finding the primary silent

Cause: a statement for which a new connection has to be opened waited for it until its deadline before the member was suspected; then the next one, sent just before the handover, waited for its connection to its own deadline, although another instance served by then. Change: the check of a late member begins with the attempt, not with the sending. When a primary is found unreachable, connections that are being opened to it are given up; nothing was sent over them, so that their statements are tried again at the next owner.

--- a/io/group/group.go
+++ b/io/group/group.go
@@ -182,9 +182,9 @@
 	return max(minAttemptTimeout, attemptTimeoutFactor*g.scheduler.ExpectedServiceTime(class))
 }
 
-// suspectLater has the member checked when the returned timer is not stopped before the reply to a statement of the class is late. A
-// write that may not be repeated waits for its reply until its deadline; the check, over a new connection, finds out meanwhile whether
-// the member is still reached.
+// suspectLater has the member checked when the returned timer is not stopped before the reply to a statement of the class is late, or
+// the connection for it. A write that may not be repeated waits for its reply until its deadline; the check, over a new connection, finds
+// out meanwhile whether the member is still reached.
 func (g *Group) suspectLater(target types.TargetID, class place.Class) *time.Timer {
 	return time.AfterFunc(g.slowReplyTime(class), func() { g.suspect(target) })
 }
--- a/io/group/pool.go
+++ b/io/group/pool.go
@@ -20,10 +20,15 @@
 	idle   []*pooledConn
 	inUse  map[*pooledConn]bool
 	closed bool
+	// dials ends when the connections that are being opened are given up.
+	dials      context.Context
+	abandonAll context.CancelFunc
 }
 
 func newPool(d Dialer, m routes.Member, limit int) *pool {
-	return &pool{dialer: d, limit: limit, member: m, inUse: map[*pooledConn]bool{}}
+	p := &pool{dialer: d, limit: limit, member: m, inUse: map[*pooledConn]bool{}}
+	p.dials, p.abandonAll = context.WithCancel(context.Background())
+	return p
 }
 
 // get returns an idle connection, preferably one with the session's values, or a new one.
@@ -60,6 +65,12 @@
 }
 
 func (p *pool) dial(ctx context.Context) (*pooledConn, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	p.mu.Lock()
+	dials := p.dials
+	p.mu.Unlock()
+	defer context.AfterFunc(dials, cancel)()
 	conn, err := p.dialer.Dial(ctx, p.currentMember())
 	if err != nil {
 		return nil, err
@@ -138,10 +149,19 @@
 	}
 }
 
+// abandonDials gives up all connections that are being opened. No statement has been sent over them.
+func (p *pool) abandonDials() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.abandonAll()
+	p.dials, p.abandonAll = context.WithCancel(context.Background())
+}
+
 // close closes all connections and makes dial refuse new ones.
 func (p *pool) close() {
 	p.mu.Lock()
 	p.closed = true
+	p.abandonAll()
 	p.mu.Unlock()
 	p.closeAll()
 }
--- a/io/group/session.go
+++ b/io/group/session.go
@@ -155,6 +155,7 @@
 		g.scheduler.Release(grant, 0, false)
 		return stmt.Failure(stmt.Overloaded, "the member has left"), outcomeNotRun
 	}
+	defer g.suspectLater(grant.Target, req.Class).Stop()
 	conn, err := p.get(ctx, s.values)
 	if err != nil {
 		g.scheduler.Release(grant, 0, false)
@@ -215,7 +216,6 @@
 		statement.MinPosition = minPosition
 	}
 	sentAt := g.settings.Clock.Now()
-	defer g.suspectLater(grant.Target, req.Class).Stop()
 	replies, err := conn.conn.Exchange(deadline, statement)
 	if err != nil {
 		g.scheduler.ReportFailure(grant.Target)
--- a/io/group/verify.go
+++ b/io/group/verify.go
@@ -60,6 +60,10 @@
 	}
 	g.logger.Warn("primary not reached", "member", primary, "reason", lastErr)
 	g.scheduler.SuspendPrimary(expectedPromotionTime)
+	if p := g.pool(primary); p != nil {
+		// The statements that wait for these connections are tried again, at the next owner or primary.
+		p.abandonDials()
+	}
 	if c.handOver(ctx, member, witnesses) {
 		return
 	}
