--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -90,3 +90,98 @@
 	w.rec.note("%d writes acknowledged, %d of them not in the log of the primary %s", len(a.ids), lost, w.svc.leader.id)
 	return lost > 0
 }
+
+// acknowledgedStray reports whether a commit that a former primary made after another member had taken over was acknowledged.
+func (w *world) acknowledgedStray(a *acks) bool {
+	w.svc.mu.Lock()
+	defer w.svc.mu.Unlock()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	broken := 0
+	for _, stray := range w.svc.stray {
+		for _, id := range stray.ids {
+			if a.ids[id] {
+				w.rec.note("write %s, committed at the old primary %s %s after another took over, was acknowledged", id, stray.member, stray.after.Round(time.Millisecond))
+				broken++
+			}
+		}
+	}
+	return broken > 0
+}
+
+// playUnlistedPrimary: the primary is cut off from the store for seven seconds, so that its entry is removed; it reaches everybody
+// else. Clients run transactions with pauses all the while. No commit may be acknowledged that the old primary made after another
+// member has taken over.
+func playUnlistedPrimary(w *world) (bool, error) {
+	acknowledged := &acks{ids: map[string]bool{}}
+	stop := time.Now().Add(20 * time.Second)
+	var clients sync.WaitGroup
+	for i := range 8 {
+		c, err := dial(w.rec, fmt.Sprintf("c%d", i), w.nodes[i%len(w.nodes)].frontend, "orders")
+		if err != nil {
+			return false, err
+		}
+		defer c.close()
+		clients.Go(func() {
+			time.Sleep(time.Duration(i) * 300 * time.Millisecond)
+			for n := 0; time.Now().Before(stop); n++ {
+				transact(c, fmt.Sprintf("t%d-%d", i, n), acknowledged)
+			}
+		})
+	}
+	time.Sleep(2 * time.Second)
+	if w.trouble {
+		w.awaitBeat(w.svc.members[0])
+		w.svc.members[0].cutFromStore(7 * time.Second)
+	}
+	clients.Wait()
+	time.Sleep(time.Second)
+	return w.acknowledgedStray(acknowledged), nil
+}
+
+// entriesPeriod is the time between two reads of the members' entries by the owner.
+const entriesPeriod = 2 * time.Second
+
+// awaitBeat waits until the member is about to write its entry, at a beat from which the entry, if this and the next two beats fail, is
+// removed shortly before the owner reads the entries. Elsewhere this is left to chance: the two periods shift against each other.
+func (w *world) awaitBeat(m *member) {
+	for {
+		w.svc.mu.Lock()
+		next := m.beatAt.Add(heartbeat)
+		w.svc.mu.Unlock()
+		w.store.mu.Lock()
+		removed := next.Add(2 * heartbeat)
+		read := w.store.entriesReadAt
+		w.store.mu.Unlock()
+		for read.Before(removed) {
+			read = read.Add(entriesPeriod)
+		}
+		time.Sleep(time.Until(next) - 40*time.Millisecond)
+		if gap := read.Sub(removed); gap > 50*time.Millisecond && gap < 500*time.Millisecond {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// transact runs a transaction of nine writes with pauses of 250 ms, and rolls it back when a statement fails.
+func transact(c *client, name string, acknowledged *acks) {
+	if a, err := c.query(name+".begin", "BEGIN"); err != nil || a.code != "" {
+		time.Sleep(250 * time.Millisecond)
+		return
+	}
+	var ids []string
+	for n := range 9 {
+		id := fmt.Sprintf("%s.w%d", name, n)
+		if a, err := c.query(id, fmt.Sprintf("WRITE %s v%d", name, n)); err != nil || a.code != "" {
+			_, _ = c.query(name+".rollback", "ROLLBACK")
+			time.Sleep(250 * time.Millisecond)
+			return
+		}
+		ids = append(ids, id)
+		time.Sleep(250 * time.Millisecond)
+	}
+	if a, err := c.query(name+".commit", "COMMIT"); err == nil && a.code == "" {
+		acknowledged.add(ids...)
+	}
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -241,7 +241,8 @@
 	instances, syncReplicas int
 	play                    func(*world) (broken bool, err error)
 }{
-	"leaving-replica": {3, 1, playLeavingReplica},
+	"leaving-replica":  {3, 1, playLeavingReplica},
+	"unlisted-primary": {3, 0, playUnlistedPrimary},
 }
 
 func main() {
