--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -91,6 +93,42 @@
 	return lost > 0
 }
 
+// openTransactions is the number of transactions that are open when the owner is asked to stop.
+const openTransactions = 10
+
+// playOpenTransaction: an instance is asked to stop while its clients have transactions open, and the primary is about to be replaced.
+// Clients end their transactions within the first half of the grace period. No commit may be acknowledged that the old primary made
+// after the new one has taken over.
+func playOpenTransaction(w *world) (bool, error) {
+	owner := w.owner()
+	if owner == nil {
+		return false, errors.New("no owner")
+	}
+	w.rec.note("%s owns the database", owner.name)
+	acknowledged := &acks{ids: map[string]bool{}}
+	stopAt := time.Now().Add(700 * time.Millisecond)
+	var clients sync.WaitGroup
+	for i := range openTransactions {
+		c, err := dial(w.rec, fmt.Sprintf("c%d", i), owner.frontend, "orders")
+		if err != nil {
+			return false, err
+		}
+		defer c.close()
+		clients.Go(func() { runTransaction(c, i, stopAt, acknowledged) })
+	}
+	time.Sleep(time.Until(stopAt))
+	if w.trouble {
+		w.svc.members[0].drain()
+	}
+	w.rec.note("SIGTERM to %s", owner.name)
+	if err := owner.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		return false, err
+	}
+	clients.Wait()
+	time.Sleep(time.Second)
+	return w.acknowledgedStray(acknowledged), nil
+}
+
 // acknowledgedStray reports whether a commit that a former primary made after another member had taken over was acknowledged.
 func (w *world) acknowledgedStray(a *acks) bool {
 	w.svc.mu.Lock()
@@ -185,3 +223,24 @@
 		acknowledged.add(ids...)
 	}
 }
+
+// runTransaction runs a transaction of a few writes with pauses. It begins before stopAt and commits between 1.03 and 1.17 s after it.
+func runTransaction(c *client, i int, stopAt time.Time, acknowledged *acks) {
+	if a, err := c.query(fmt.Sprintf("t%d.begin", i), "BEGIN"); err != nil || a.code != "" {
+		return
+	}
+	commitAt := stopAt.Add(1030*time.Millisecond + time.Duration(i)*15*time.Millisecond)
+	var ids []string
+	for n := 0; n < 10 && time.Until(commitAt) > 250*time.Millisecond; n++ {
+		id := fmt.Sprintf("t%d.w%d", i, n)
+		if a, err := c.query(id, fmt.Sprintf("WRITE t%d v%d", i, n)); err != nil || a.code != "" {
+			return
+		}
+		ids = append(ids, id)
+		time.Sleep(200 * time.Millisecond)
+	}
+	time.Sleep(time.Until(commitAt))
+	if a, err := c.query(fmt.Sprintf("t%d.commit", i), "COMMIT"); err == nil && a.code == "" {
+		acknowledged.add(ids...)
+	}
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -242,6 +242,7 @@
 	play                    func(*world) (broken bool, err error)
 }{
 	"leaving-replica":  {3, 1, playLeavingReplica},
+	"open-transaction": {3, 0, playOpenTransaction},
 	"unlisted-primary": {3, 0, playUnlistedPrimary},
 }
 
