--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -244,3 +244,74 @@
 		acknowledged.add(ids...)
 	}
 }
+
+// playSplitStatement: an instance is asked to stop while clients have transactions open. Each client sends one statement whose line
+// arrives in two pieces, 120 ms apart; the data that it writes reads like a statement from the second piece on. No member may run a
+// statement whose id no client has sent.
+func playSplitStatement(w *world) (bool, error) {
+	owner := w.owner()
+	var at *node
+	for _, n := range w.nodes {
+		if n != owner {
+			at = n
+		}
+	}
+	if owner == nil || at == nil {
+		return false, errors.New("no owner")
+	}
+	w.svc.mu.Lock()
+	w.svc.ran = nil
+	w.svc.mu.Unlock()
+	sent := &acks{ids: map[string]bool{}}
+	termAt := time.Now().Add(500 * time.Millisecond)
+	var clients sync.WaitGroup
+	for i := range 3 {
+		c, err := dial(w.rec, fmt.Sprintf("c%d", i), at.frontend, "orders")
+		if err != nil {
+			return false, err
+		}
+		defer c.close()
+		clients.Go(func() {
+			c.splitStatement(fmt.Sprintf("t%d", i), termAt.Add(1900*time.Millisecond+time.Duration(i)*150*time.Millisecond), sent)
+		})
+	}
+	time.Sleep(time.Until(termAt))
+	if w.trouble {
+		w.rec.note("SIGTERM to %s", at.name)
+		if err := at.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+			return false, err
+		}
+	}
+	clients.Wait()
+	w.svc.mu.Lock()
+	defer w.svc.mu.Unlock()
+	forged := 0
+	for _, id := range w.svc.ran {
+		if !sent.ids[id] {
+			w.rec.note("a member ran %s, which no client has sent", id)
+			forged++
+		}
+	}
+	return forged > 0, nil
+}
+
+// splitStatement begins a transaction, sends a statement in two pieces at the given time, and commits.
+func (c *client) splitStatement(name string, at time.Time, sent *acks) {
+	sent.add(name+".begin", name+".w0", name+".w1", name+".commit")
+	if a, err := c.query(name+".begin", "BEGIN"); err != nil || a.code != "" {
+		return
+	}
+	if a, err := c.query(name+".w0", "WRITE "+name+" v0"); err != nil || a.code != "" {
+		return
+	}
+	time.Sleep(time.Until(at))
+	first, second := "QUERY "+name+".w1 WRITE "+name+" ", "QUERY forged."+name+" WRITE "+name+" forged\r\n"
+	c.rec.note("client %s sends %q and, 120 ms later, %q", c.name, first, second)
+	_ = c.conn.SetDeadline(time.Now().Add(5 * time.Second))
+	_, _ = c.conn.Write([]byte(first))
+	time.Sleep(120 * time.Millisecond)
+	_, _ = c.conn.Write([]byte(second))
+	a, err := c.receive()
+	c.rec.note("client %s gets for %s.w1: %+v %v", c.name, name, a, err)
+	_, _ = c.query(name+".commit", "COMMIT")
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -244,6 +244,7 @@
 	"leaving-replica":  {3, 1, playLeavingReplica},
 	"open-transaction": {3, 0, playOpenTransaction},
 	"unlisted-primary": {3, 0, playUnlistedPrimary},
+	"split-statement":  {3, 0, playSplitStatement},
 }
 
 func main() {
