fix: a refused connection does not prove that an owner has stopped

Callers of an owner that was cut off read stale data on primary routes, and writes that were acknowledged were rolled back. Its successor asked it to stop before a promotion and took "connection refused" for the end of its process, although a partition may refuse connections to a live one. Only an answer from the address of the instance counts now, by the run that was asked or by a later one; otherwise the lease has to end. Former owners and standbys go through the same call.

--- a/io/node/ownership.go
+++ b/io/node/ownership.go
@@ -3,11 +3,8 @@
 import (
 	"context"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"turmericpulley/core/clock"
 	"turmericpulley/core/fault"
 	"turmericpulley/core/hold"
@@ -145,8 +142,9 @@
 	return true
 }
 
-// requestStop asks an instance to stop working for the database under any epoch before this ownership's, and reports
-// whether it has stopped. A machine that refuses the connection runs no instance, so the owner has stopped.
+// requestStop asks an instance to stop working for the database under any epoch before this ownership's, and reports whether it
+// has stopped. Only an answer of the process at the instance's address proves that: one that runs there now has stopped, and a
+// former one has ended. A refused or reset connection proves nothing, because a partition may refuse it for a live process.
 func (o *ownership) requestStop(ctx context.Context, owner hold.Owner) bool {
 	instance, known := o.node.directory.instance(owner.Instance)
 	if !known {
@@ -155,7 +153,7 @@
 	reply, err := o.node.call(ctx, instance.PeerAddress, &wire.Call{Kind: &wire.Call_Fence{Fence: &wire.Fence{
 		Database: string(o.database), Epoch: uint64(o.lease.Epoch()),
 	}}})
-	stopped := err == nil && reply.GetFenced().GetDone() || errors.Is(err, syscall.ECONNREFUSED)
+	stopped := err == nil && reply.GetFenced().GetDone()
 	o.node.logger.Info("instance asked to stop working for the database", "database", o.database, "asked", owner.Instance, "stopped", stopped, "error", err)
 	return stopped
 }
--- a/io/node/peerlistener_test.go
+++ b/io/node/peerlistener_test.go
@@ -4,6 +4,9 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
 )
 
 // peerListener accepts the connections of other instances. It counts their reads, and can drop all that they receive or end them.
@@ -15,18 +18,64 @@
 
 	mu   sync.Mutex
 	open map[*peerConn]bool
+	// reopened is closed when the listener accepts connections again; nil while it does.
+	reopened chan struct{}
 }
 
 func (l *peerListener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		l.mu.Lock()
+		listener := l.Listener
+		l.mu.Unlock()
+		accepted, err := listener.Accept()
+		l.mu.Lock()
+		reopened := l.reopened
+		if err == nil {
+			c := &peerConn{Conn: accepted, listener: l}
+			l.open[c] = true
+			l.mu.Unlock()
+			return c, nil
+		}
+		l.mu.Unlock()
+		if reopened == nil {
+			return nil, err
+		}
+		<-reopened
 	}
-	c := &peerConn{Conn: accepted, listener: l}
+}
+
+// refuse ends the open connections and refuses new ones until accept is called, as a partition may that resets connections.
+func (l *peerListener) refuse(tb testing.TB) {
+	tb.Helper()
+	l.mu.Lock()
+	l.reopened = make(chan struct{})
+	listener := l.Listener
+	l.mu.Unlock()
+	require.NoError(tb, listener.Close())
+	l.endConnections()
+}
+
+// accept lets the listener accept connections again.
+func (l *peerListener) accept(tb testing.TB) {
+	tb.Helper()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.open[c] = true
-	return c, nil
+	listener, err := net.Listen("tcp", l.Listener.Addr().String())
+	require.NoError(tb, err)
+	l.Listener = listener
+	close(l.reopened)
+	l.reopened = nil
+}
+
+// Close implements net.Listener.
+func (l *peerListener) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.reopened != nil {
+		close(l.reopened)
+		l.reopened = nil
+	}
+	return l.Listener.Close()
 }
 
 // silenceOpen drops everything that arrives over the connections that are open now.
