fix: connections in use of an unlisted primary are closed at its replacement

Commits were acknowledged and then rolled back. When the entry of a primary that runs was missing from the store, the group dropped the pool of the member and closed its idle connections only. Open transactions went on over the others; the replacement found no pool to close, and told a member that was not listed not to step down.

The pool of an unlisted member is kept while a connection is in use, and that of the last primary until another is active. A replacement closes it, dials in progress included, and steps the member down at its last known address. The sender of a statement checks that the member is still the active primary when its connection is registered.

--- a/io/group/group.go
+++ b/io/group/group.go
@@ -31,7 +31,8 @@
 
 	mu      sync.Mutex
 	members []routes.Member
-	pools   map[types.TargetID]*pool
+	// pools are those of the listed members, and of others that have connections in use or were the primary last.
+	pools map[types.TargetID]*pool
 	// unusable are the replicas whose last status query failed although they were not busy. suspected are the members that the
 	// failover controller is to check.
 	unusable  map[types.TargetID]bool
@@ -102,7 +103,6 @@
 	g.mu.Lock()
 	changed := !slices.Equal(g.members, members)
 	g.members = members
-	var removed []*pool
 	listed := make(map[types.TargetID]bool, len(members))
 	for _, m := range members {
 		listed[m.Target] = true
@@ -112,16 +112,18 @@
 			g.pools[m.Target] = newPool(g.settings.Dialer, m, g.maxMemberConnections())
 		}
 	}
+	// The connections of open transactions to a member that is no longer listed still count: they have to be closed before another
+	// member takes over from it.
 	for target, p := range g.pools {
-		if !listed[target] {
-			removed = append(removed, p)
+		if listed[target] {
+			continue
+		}
+		p.retire()
+		if target != g.primary && p.closeUnused() {
 			delete(g.pools, target)
 		}
 	}
 	g.mu.Unlock()
-	for _, p := range removed {
-		p.closeIdle()
-	}
 	if changed {
 		g.logger.Info("members changed", "members", describeMembers(members))
 		g.updateScheduler()
@@ -129,10 +131,37 @@
 	}
 }
 
-// mayUse reports whether the member may get new statements: it stays, or it has not been leaving for too long.
+// mayUse reports whether the member may get new statements: it is listed, and stays or has not been leaving for too long.
 func (g *Group) mayUse(target types.TargetID) bool {
-	m, _ := g.member(target)
-	return !m.Leaving || g.settings.Clock.Now() < m.UsableUntil
+	m, listed := g.member(target)
+	return listed && (!m.Leaving || g.settings.Clock.Now() < m.UsableUntil)
+}
+
+// isActivePrimary reports whether statements for the primary may be sent to the member.
+func (g *Group) isActivePrimary(target types.TargetID) bool {
+	primary, active := g.scheduler.Primary()
+	return active && primary == target
+}
+
+// closePrimaryConns closes all connections to the member that is replaced as the primary, and to the one that was active last.
+// Statements that are sent later find that neither is the active primary.
+func (g *Group) closePrimaryConns(old types.TargetID) {
+	g.mu.Lock()
+	former, last := g.pools[old], g.pools[g.primary]
+	g.mu.Unlock()
+	for _, p := range []*pool{former, last} {
+		if p != nil {
+			p.closeAll()
+		}
+	}
+}
+
+// lastEntry returns the entry of a member that is listed or was the primary last.
+func (g *Group) lastEntry(target types.TargetID) (routes.Member, bool) {
+	if p := g.pool(target); p != nil {
+		return p.currentMember(), true
+	}
+	return routes.Member{}, false
 }
 
 // updateScheduler passes the members to the scheduler and says which of them take new statements.
--- a/io/group/pool.go
+++ b/io/group/pool.go
@@ -20,6 +20,8 @@
 	idle   []*pooledConn
 	inUse  map[*pooledConn]bool
 	closed bool
+	// retired is set while the member is not listed: connections in use may be kept, but are closed when they are returned.
+	retired bool
 	// dials ends when the connections that are being opened are given up.
 	dials      context.Context
 	abandonAll context.CancelFunc
@@ -78,7 +80,7 @@
 	c := &pooledConn{conn: conn, values: map[string]string{}, prepared: map[string]bool{}}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
+	if p.closed || dials.Err() != nil {
 		conn.Close()
 		return nil, errPoolClosed
 	}
@@ -89,7 +91,7 @@
 // put takes a connection back after use. It closes a broken one, and idle ones beyond the limit.
 func (p *pool) put(c *pooledConn) {
 	p.mu.Lock()
-	keep := !c.broken && !p.closed && p.inUse[c]
+	keep := !c.broken && !p.closed && !p.retired && p.inUse[c]
 	delete(p.inUse, c)
 	if keep {
 		p.idle = append(p.idle, c)
@@ -134,8 +136,25 @@
 	p.closeIdle()
 }
 
-// closeAll closes all connections. Statements on those in use end without a reply.
+// retire closes the idle connections, and those in use when they are returned, until updateMember lists the member again.
+func (p *pool) retire() {
+	p.mu.Lock()
+	p.retired = true
+	p.mu.Unlock()
+	p.closeIdle()
+}
+
+// closeUnused closes the pool if no connection is in use, and reports whether it did.
+func (p *pool) closeUnused() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = p.closed || len(p.inUse) == 0
+	return p.closed
+}
+
+// closeAll closes all connections, those that are being opened included. Statements on those in use end without a reply.
 func (p *pool) closeAll() {
+	p.abandonDials()
 	p.closeIdle()
 	p.mu.Lock()
 	inUse := make([]*pooledConn, 0, len(p.inUse))
@@ -172,10 +191,11 @@
 	return p.member
 }
 
-// updateMember stores the member's newest entry. It closes all connections when the address changed or the member
+// updateMember stores the newest entry of the listed member. It closes all connections when the address changed or the member
 // restarted.
 func (p *pool) updateMember(m routes.Member) {
 	p.mu.Lock()
+	p.retired = false
 	replaced := p.member.Address != m.Address || p.member.StartedUnixMs != m.StartedUnixMs
 	p.member = m
 	p.mu.Unlock()
--- a/io/group/replace.go
+++ b/io/group/replace.go
@@ -45,9 +45,7 @@
 	if kind == switchover {
 		end = c.quiesce(ctx, old)
 	}
-	if p := g.pool(old); p != nil {
-		p.closeAll()
-	}
+	g.closePrimaryConns(old)
 	candidate, term, found := c.elect(ctx, old, end)
 	if !found {
 		g.logger.Warn("no member can be promoted")
@@ -206,7 +204,7 @@
 		return
 	}
 	c.awaitPromotion(ctx, candidate, term, began.Add(promotionTimeout))
-	if m, listed := g.member(old); listed && old != candidate.Target {
+	if m, known := g.lastEntry(old); known && old != candidate.Target {
 		c.stepDown(m)
 	}
 }
--- a/io/group/session.go
+++ b/io/group/session.go
@@ -186,6 +186,10 @@
 		s.discardAttempt(grant, p, conn)
 		return stmt.Failure(stmt.Overloaded, "the member is leaving"), outcomeNotRun
 	}
+	if grant.Primary && !g.isActivePrimary(grant.Target) {
+		s.discardAttempt(grant, p, conn)
+		return stmt.Failure(stmt.Overloaded, "the member is being replaced as the primary"), outcomeNotRun
+	}
 	return s.send(req, grant, p, conn, minPosition, deadline)
 }
 
