fix: a former owner has not stopped while its open transactions go on

Commits were acknowledged and then rolled back: an instance that had handed a database over at a planned stop answered a fence with "stopped", because it had no ownership any more, while the group of the former one let transactions end under a valid lease. Its successor promoted another member meanwhile.

Ownerships that have ended stay listed until their lease is revoked, and an answer to a fence counts them. For a planned replacement the former owner lets its transactions end, and the leaving primary serves until then; for any other it ends them at once. An ownership that starts after a fence has been answered is revoked.

--- a/io/group/group.go
+++ b/io/group/group.go
@@ -86,6 +86,18 @@
 	}
 }
 
+// IsIdle reports whether no connection to a member is in use: no statement runs and no transaction is open.
+func (g *Group) IsIdle() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.pools {
+		if p.isInUse() {
+			return false
+		}
+	}
+	return true
+}
+
 // maxMemberConnections returns how many connections the group keeps to a member at most.
 func (g *Group) maxMemberConnections() int {
 	return max(1, g.settings.MaxConnections-reservedMemberConnections)
--- a/io/group/pool.go
+++ b/io/group/pool.go
@@ -152,6 +152,12 @@
 	return p.closed
 }
 
+func (p *pool) isInUse() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.inUse) > 0
+}
+
 // closeAll closes all connections, those that are being opened included. Statements on those in use end without a reply.
 func (p *pool) closeAll() {
 	p.abandonDials()
--- a/io/group/promoter.go
+++ b/io/group/promoter.go
@@ -33,8 +33,8 @@
 	// Lease returns the lease under which this instance may serve the database.
 	Lease() *hold.Lease
 	// MayPromote reports whether no standby and no earlier owner can still serve the database. It asks those whose leases may
-	// still be valid to stop.
-	MayPromote(ctx context.Context) bool
+	// still be valid to stop. With letEnd, former owners let their open transactions end first.
+	MayPromote(ctx context.Context, letEnd bool) bool
 	// RecordPromotion records in the store that the member is about to be promoted, and returns the fencing token of the
 	// promotion.
 	RecordPromotion(ctx context.Context, promotion hold.Promotion) (types.Epoch, error)
--- a/io/group/replace.go
+++ b/io/group/replace.go
@@ -30,7 +30,9 @@
 	if kind == switchover && !c.hasCandidate(old) {
 		return
 	}
-	if kind == switchover && !g.settings.Ownership.MayPromote(ctx) {
+	// Transactions at a primary that is lost, or that may not be used any more, cannot commit.
+	letEnd := kind == switchover && g.mayUse(old)
+	if kind == switchover && !g.settings.Ownership.MayPromote(ctx, letEnd) {
 		g.logger.Warn("switchover delayed, an earlier owner may still serve the database")
 		if _, active := g.scheduler.Primary(); !active {
 			g.scheduler.SuspendPrimary(expectedPromotionTime)
@@ -52,7 +54,7 @@
 		pause.For(ctx, controllerInterval)
 		return
 	}
-	if !g.settings.Ownership.MayPromote(ctx) {
+	if !g.settings.Ownership.MayPromote(ctx, letEnd) {
 		g.logger.Warn("promotion delayed, an earlier owner may still serve the database")
 		g.scheduler.SuspendPrimary(expectedPromotionTime)
 		return
--- a/io/node/fence_test.go
+++ b/io/node/fence_test.go
@@ -31,3 +31,35 @@
 	require.Eventually(t, func() bool { return site.Group.Primary() != "i-1" }, 2*time.Second, 10*time.Millisecond)
 	owner.disconnected.Store(false)
 }
+
+// TestPromotionWaitsForOpenTransactionsOfAnOwnerThatHasHandedOver guards against commits that are acknowledged and rolled back: an owner
+// hands the database over at a planned stop while the primary leaves, and a caller's transaction goes on at the primary. No member may be
+// promoted before that transaction has ended, and the transaction has time to end.
+func TestPromotionWaitsForOpenTransactionsOfAnOwnerThatHasHandedOver(t *testing.T) {
+	site, err := fakepl.NewPlatform(0)
+	require.NoError(t, err)
+	defer site.Close()
+	site.Group.DemoteDelay = 10 * time.Second
+	site.Configure(1, 1000)
+	owner := startInstanceWithGrace(t, site, "n1", disconnectedDelay, 6*time.Second)
+	awaitWrite(t, owner.callers)
+	next := startInstance(t, site, "n2")
+	awaitWrite(t, next.callers)
+	time.Sleep(discoveryTime)
+	require.Equal(t, "n1", ownerOf(site))
+	caller, err := fakepl.Dial(owner.callers, "primary")
+	require.NoError(t, err)
+	defer caller.Close()
+	mustSucceed(t, caller, "BEGIN")
+	mustSucceed(t, caller, "WRITE b 1")
+	site.Group.Member("i-1").Drain()
+	stopped := make(chan struct{})
+	go func() { defer close(stopped); owner.stop() }()
+	require.Eventually(t, func() bool { return ownerOf(site) == "n2" }, time.Second, 5*time.Millisecond)
+	time.Sleep(time.Second)
+	mustSucceed(t, caller, "COMMIT")
+	require.Equal(t, "i-1", site.Group.Primary())
+	require.Eventually(t, func() bool { return site.Group.Primary() != "i-1" }, 5*time.Second, 5*time.Millisecond)
+	require.Equal(t, []string{"1"}, site.Group.CommittedValues("b"))
+	<-stopped
+}
--- a/io/node/handover.go
+++ b/io/node/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,25 +27,23 @@
 	handOverTimeout = time.Second
 )
 
-// serveFence stops this instance from working for the database under any epoch before the given one, and reports whether it
-// has stopped. An acting standby stops under any epoch.
-func (m *ownershipManager) serveFence(database types.DatabaseID, epoch types.Epoch) bool {
+// serveFence stops this instance from working for the database under any epoch before the request's, and reports whether it has
+// stopped. The work under an ownership goes on after its end, until the open transactions have ended. An acting standby stops under any
+// epoch.
+func (m *ownershipManager) serveFence(request *wire.Fence) bool {
+	database, epoch := types.DatabaseID(request.GetDatabase()), types.Epoch(request.GetEpoch())
 	m.mu.Lock()
 	m.fencedEpochs[database] = max(m.fencedEpochs[database], epoch)
-	m.mu.Unlock()
-	owned := m.get(database)
-	if owned == nil {
-		return true
-	}
-	if owned.isActing() {
-		owned.lease.Revoke()
-		return true
+	working := slices.Clone(m.draining[database])
+	if owned := m.byDatabase[database]; owned != nil {
+		working = append(working, owned)
 	}
-	if owned.lease.Epoch() >= epoch {
-		return false
+	m.mu.Unlock()
+	stopped := true
+	for _, owned := range working {
+		stopped = owned.stopBefore(epoch, request.GetLetEnd()) && stopped
 	}
-	owned.lease.Revoke()
-	return true
+	return stopped
 }
 
 // handOverAll hands all databases over to other instances. A database that no other instance can take yet is still served
--- a/io/node/handover_test.go
+++ b/io/node/handover_test.go
@@ -137,6 +137,12 @@
 
 // startInstanceWithDelay is startInstance with another time that a call to the store takes to fail while it is disconnected.
 func startInstanceWithDelay(tb testing.TB, site *fakepl.Platform, name string, delay time.Duration) *testInstance {
+	tb.Helper()
+	return startInstanceWithGrace(tb, site, name, delay, gracePeriod)
+}
+
+// startInstanceWithGrace is startInstanceWithDelay with another grace period of a planned stop.
+func startInstanceWithGrace(tb testing.TB, site *fakepl.Platform, name string, delay, grace time.Duration) *testInstance {
 	tb.Helper()
 	r := &testInstance{id: types.InstanceID(name)}
 	callers, peers, ready := listen(tb), listen(tb), listen(tb)
@@ -156,7 +162,7 @@
 		},
 		Formats: platform.Formats(), Dialer: platform.MemberDialer{Instance: r.id},
 		Promoter: platform.Promoter{Address: site.Address(), Instance: r.id}, Clock: clock.Boot(),
-		Logger: hclog.NewNullLogger(), RequestLogger: hclog.NewNullLogger(), Grace: gracePeriod, MaxConnections: 100,
+		Logger: hclog.NewNullLogger(), RequestLogger: hclog.NewNullLogger(), Grace: grace, MaxConnections: 100,
 	})
 	tb.Cleanup(func() { r.stop(); direct.Close() })
 	return r
--- a/io/node/ownership.go
+++ b/io/node/ownership.go
@@ -51,8 +51,10 @@
 
 // MayPromote reports whether no standby and no former owner can work for the database any more. It asks those whose leases may
 // still be valid to stop. An acting standby may never promote.
-func (o *ownership) MayPromote(ctx context.Context) bool {
-	if o.isActing() || !o.standbysStopped(ctx) || o.lacksFormer() {
+//
+// With letEnd, a former owner that still has open transactions at the primary counts as working until they have ended.
+func (o *ownership) MayPromote(ctx context.Context, letEnd bool) bool {
+	if o.isActing() || !o.standbysStopped(ctx, letEnd) || o.lacksFormer() {
 		return false
 	}
 	o.mu.Lock()
@@ -63,7 +65,7 @@
 	}
 	allStopped := !record.FormerOmitted
 	for _, owner := range record.Former {
-		allStopped = o.fence(ctx, owner) && allStopped
+		allStopped = o.fence(ctx, owner, letEnd) && allStopped
 	}
 	return allStopped
 }
@@ -129,11 +131,11 @@
 }
 
 // fence asks a former owner to stop, unless it is known to have stopped, and reports whether it has.
-func (o *ownership) fence(ctx context.Context, former hold.Owner) bool {
+func (o *ownership) fence(ctx context.Context, former hold.Owner, letEnd bool) bool {
 	o.mu.Lock()
 	stopped := o.fenced[former]
 	o.mu.Unlock()
-	if stopped || !o.requestStop(ctx, former) {
+	if stopped || !o.requestStop(ctx, former, letEnd) {
 		return stopped
 	}
 	o.mu.Lock()
@@ -145,19 +147,37 @@
 // requestStop asks an instance to stop working for the database under any epoch before this ownership's, and reports whether it
 // has stopped. Only an answer of the process at the instance's address proves that: one that runs there now has stopped, and a
 // former one has ended. A refused or reset connection proves nothing, because a partition may refuse it for a live process.
-func (o *ownership) requestStop(ctx context.Context, owner hold.Owner) bool {
+func (o *ownership) requestStop(ctx context.Context, owner hold.Owner, letEnd bool) bool {
 	instance, known := o.node.directory.instance(owner.Instance)
 	if !known {
 		return false
 	}
 	reply, err := o.node.call(ctx, instance.PeerAddress, &wire.Call{Kind: &wire.Call_Fence{Fence: &wire.Fence{
-		Database: string(o.database), Epoch: uint64(o.lease.Epoch()),
+		Database: string(o.database), Epoch: uint64(o.lease.Epoch()), LetEnd: letEnd,
 	}}})
 	stopped := err == nil && reply.GetFenced().GetDone()
-	o.node.logger.Info("instance asked to stop working for the database", "database", o.database, "asked", owner.Instance, "stopped", stopped, "error", err)
+	o.node.logger.Info("instance asked to stop working for the database", "database", o.database, "asked", owner.Instance, "letEnd", letEnd,
+		"stopped", stopped, "error", err)
 	return stopped
 }
 
+// stopBefore ends the work under this ownership if its epoch is older than the given one, or if it is that of an acting standby, and
+// reports whether it has ended. With letEnd, a former owner takes no new work, and works on until its open transactions have ended.
+func (o *ownership) stopBefore(epoch types.Epoch, letEnd bool) bool {
+	acting := o.isActing()
+	if !acting && o.lease.Epoch() >= epoch {
+		return false
+	}
+	if letEnd && !acting && o.lease.Valid() {
+		o.group.Drain()
+		if !o.group.IsIdle() {
+			return false
+		}
+	}
+	o.lease.Revoke()
+	return true
+}
+
 // RecordPromotion writes a promotion into the owner record and returns its fencing token, the store's revision of the
 // record. It removes the standby and the former owners from the record, since MayPromote has found that they cannot work for
 // the database any more.
--- a/io/node/ownershipmanager.go
+++ b/io/node/ownershipmanager.go
@@ -38,6 +38,8 @@
 
 	mu         sync.Mutex
 	byDatabase map[types.DatabaseID]*ownership
+	// draining are the ownerships that have ended while their open transactions go on.
+	draining map[types.DatabaseID][]*ownership
 	// ownerlessSince is the moment since which a database has no living owner. After a claim that the store did not answer, it
 	// lies in the future, which delays the next claim.
 	ownerlessSince map[types.DatabaseID]clock.Moment
@@ -47,7 +49,7 @@
 	leaving bool
 	// standbyRenewals are the last reads of the store that showed this instance as the standby of a database, and
 	// receivedMembers the members that the database's owner sent to it. fencedEpochs are the highest epochs of fence
-	// requests for a database; up to that epoch this instance must not act as its standby.
+	// requests for a database; below that epoch this instance must not work for it, and at it not act as its standby.
 	standbyRenewals map[types.DatabaseID]standbyRenewal
 	receivedMembers map[types.DatabaseID][]routes.Member
 	fencedEpochs    map[types.DatabaseID]types.Epoch
@@ -56,6 +58,7 @@
 func newOwnershipManager(n *Node) *ownershipManager {
 	return &ownershipManager{
 		node: n, detector: newFailureDetector(n), records: &recordsReader{node: n}, byDatabase: map[types.DatabaseID]*ownership{},
+		draining:       map[types.DatabaseID][]*ownership{},
 		ownerlessSince: map[types.DatabaseID]clock.Moment{}, members: map[types.DatabaseID][]routes.Member{},
 		standbyRenewals: map[types.DatabaseID]standbyRenewal{}, receivedMembers: map[types.DatabaseID][]routes.Member{},
 		fencedEpochs: map[types.DatabaseID]types.Epoch{},
@@ -169,7 +172,12 @@
 	if members := m.members[database.ID]; len(members) > 0 {
 		owned.group.SetMembers(members)
 	}
+	fenced, epoch := m.fencedEpochs[database.ID], owned.lease.Epoch()
 	m.mu.Unlock()
+	if fenced > epoch || owned.isActing() && fenced == epoch {
+		// The fence request arrived when this ownership was not registered yet, and has been answered.
+		owned.lease.Revoke()
+	}
 	n.memberEntries.refresh()
 	n.directory.wake()
 }
@@ -180,11 +188,18 @@
 	m.node.logger.Info("database ownership lost", "database", owned.database, "owner", record.Instance, "revision", record.revision)
 	m.mu.Lock()
 	delete(m.byDatabase, owned.database)
+	m.draining[owned.database] = append(m.draining[owned.database], owned)
 	m.mu.Unlock()
 	owned.group.Drain()
 	m.node.goroutines.Go(func() {
 		pause.For(m.node.ctx, drainTimeout)
 		owned.lease.Revoke()
+		m.mu.Lock()
+		left := slices.DeleteFunc(m.draining[owned.database], func(other *ownership) bool { return other == owned })
+		if m.draining[owned.database] = left; len(left) == 0 {
+			delete(m.draining, owned.database)
+		}
+		m.mu.Unlock()
 		owned.group.Close()
 	})
 }
--- a/io/node/peercalls.go
+++ b/io/node/peercalls.go
@@ -211,8 +211,7 @@
 	case *wire.Call_Reach:
 		return &wire.CallReply{Kind: &wire.CallReply_Reached{Reached: n.serveReach(kind.Reach)}}
 	case *wire.Call_Fence:
-		done := n.ownerships.serveFence(types.DatabaseID(kind.Fence.GetDatabase()), types.Epoch(kind.Fence.GetEpoch()))
-		return &wire.CallReply{Kind: &wire.CallReply_Fenced{Fenced: &wire.Fenced{Done: done}}}
+		return &wire.CallReply{Kind: &wire.CallReply_Fenced{Fenced: &wire.Fenced{Done: n.ownerships.serveFence(kind.Fence)}}}
 	case *wire.Call_Probe:
 		return &wire.CallReply{Kind: &wire.CallReply_Probed{Probed: n.serveProbe(kind.Probe)}}
 	case *wire.Call_Offer:
--- a/io/node/standby.go
+++ b/io/node/standby.go
@@ -58,7 +58,7 @@
 
 // standbysStopped reports whether no standby can work for the database any more: each has confirmed that it stopped, or its
 // lease has expired. A current standby that does not confirm is removed from the record, so that its lease expires.
-func (o *ownership) standbysStopped(ctx context.Context) bool {
+func (o *ownership) standbysStopped(ctx context.Context, letEnd bool) bool {
 	now := o.node.settings.Clock.Now()
 	o.mu.Lock()
 	var active []hold.Owner
@@ -77,7 +77,7 @@
 	o.mu.Unlock()
 	stopped := true
 	for _, standby := range active {
-		stopped = o.requestStop(ctx, standby) && stopped
+		stopped = o.requestStop(ctx, standby, letEnd) && stopped
 	}
 	if !stopped && removable {
 		next.Standby = nil
@@ -197,13 +197,6 @@
 	m.mu.Unlock()
 	n.logger.Info("standby acts as owner", "database", database.ID, "epoch", epoch, "owner", record.Instance, "left", lease.Remaining().String())
 	m.start(database, owned)
-	// A fence request that arrived before start had registered the ownership found nothing to revoke.
-	m.mu.Lock()
-	fenced = m.fencedEpochs[database.ID]
-	m.mu.Unlock()
-	if fenced >= epoch {
-		lease.Revoke()
-	}
 }
 
 // becomeOwner tries to make an acting standby the owner by a write of the owner record. It fails while the store does not
