fix: the longest log goes before the preference for members that stay

With syncReplicas 1, acknowledged writes were lost: a replica that leaves alone held them when the primary crashed, and one that stays and had received nothing was promoted, because the choice put members that stay first and CanPromote took the log of the chosen one for the longest.

core/place chooses and judges now: with synchronous replicas the longest log first, then members that stay; nothing that another log exceeds. A planned replacement passes over members that leave and begins only when one that stays holds all, so that it does not loop.

--- a/core/place/election.go
+++ b/core/place/election.go
@@ -6,39 +6,94 @@
 	"turmericpulley/core/types"
 )
 
-// busyMembersTimeout is how long an election waits for members that are alive but did not report where their logs end. Slots and
-// connections become free within about 100 ms. Those that an unresponsive former owner holds become free after 3 s.
-const busyMembersTimeout = 5 * time.Second
+const (
+	// busyMembersTimeout is how long an election waits for members that are alive but did not report where their logs end. Slots and
+	// connections become free within about 100 ms. Those that an unresponsive former owner holds become free after 3 s.
+	busyMembersTimeout = 5 * time.Second
+	// missingCommitsTimeout is how long an election waits for a member that holds acknowledged commits which no listed member has. The
+	// log of a member that has left is transferred to a new one at its address.
+	missingCommitsTimeout = 10 * time.Second
+)
+
+// Candidate is a member that reported where its log ends.
+type Candidate struct {
+	Target  types.TargetID
+	Leaving bool
+	Log     types.LogPosition
+}
 
 // Election is what the owner knows when a primary is to be replaced.
 type Election struct {
 	// SyncReplicas is the number of replicas that hold a commit before it is acknowledged.
 	SyncReplicas int
-	// Members is the number of members besides the old primary, Answered how many of them reported where their logs end.
-	Members, Answered int
+	// Planned is set when the primary leaves and serves until then.
+	Planned bool
+	// Members is the number of members besides the old primary, Candidates those of them that reported where their logs end.
+	Members    int
+	Candidates []Candidate
 	// Busy is the number of members that are alive but had no slot or connection to report it, and WithoutPrimary how long the
 	// database has been without a primary.
 	Busy           int
 	WithoutPrimary time.Duration
-	// LongestLog is the end of the longest of the reported logs, LastAcknowledged the newest commit that this owner knows of.
-	LongestLog, LastAcknowledged types.LogPosition
+	// LastAcknowledged is the newest commit that this owner knows of.
+	LastAcknowledged types.LogPosition
 }
 
-// CanPromote reports whether the member with the longest log may become the primary.
+// Best returns the candidate that is to be promoted if CanPromote allows it; false when there is none.
 //
-// With synchronous replicas that log must hold every acknowledged commit. It counts as holding them once all members have
-// reported, or when it reaches LastAcknowledged. Without synchronous replicas the database does not promise that any replica
-// holds a commit, and waiting for dead members would only cost time. The owner waits for a member that is alive but busy in
-// both cases, because that member may hold all that the longest known log lacks.
-func (e Election) CanPromote() bool {
+// With synchronous replicas it is the one with the longest log, because that may hold acknowledged commits which the others lack.
+// Members that leave come last among equal logs. A planned replacement passes over them, since the member would have to be
+// replaced again. Without synchronous replicas no log is promised to hold a commit, and members that stay come first.
+func (e Election) Best() (Candidate, bool) {
+	var best Candidate
+	found := false
+	for _, c := range e.Candidates {
+		if c.Leaving && e.Planned && e.SyncReplicas > 0 {
+			continue
+		}
+		if !found || e.prefers(c, best) {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
+// prefers reports whether candidate a is preferred to b.
+func (e Election) prefers(a, b Candidate) bool {
+	stays, longer := !a.Leaving && b.Leaving, b.Log.Before(a.Log)
+	if e.SyncReplicas > 0 {
+		return longer || stays && a.Log == b.Log
+	}
+	return stays || longer && a.Leaving == b.Leaving
+}
+
+// CanPromote reports whether the candidate may become the primary.
+//
+// With synchronous replicas its log must hold every acknowledged commit. It counts as holding them when it reaches
+// LastAcknowledged, or once all members have reported and none has a longer one. Without synchronous replicas the database does
+// not promise that any replica holds a commit, and waiting for dead members would only cost time. The owner waits for a member that is
+// alive but busy in both cases, because that member may hold all that the longest known log lacks.
+func (e Election) CanPromote(c Candidate) bool {
 	switch {
 	case e.Busy > 0 && e.WithoutPrimary < busyMembersTimeout:
 		return false
 	case e.SyncReplicas == 0:
 		return true
-	case e.Answered >= e.Members:
-		return true
+	case e.isExceeded(c):
+		return false
+	case c.Log.Before(e.LastAcknowledged):
+		return !e.Planned && len(e.Candidates) >= e.Members && e.WithoutPrimary >= missingCommitsTimeout
 	default:
-		return !e.LastAcknowledged.IsZero() && !e.LongestLog.Before(e.LastAcknowledged)
+		return !e.LastAcknowledged.IsZero() || len(e.Candidates) >= e.Members
+	}
+}
+
+// isExceeded reports whether another candidate has a longer log.
+func (e Election) isExceeded(c Candidate) bool {
+	for _, other := range e.Candidates {
+		if c.Log.Before(other.Log) {
+			return true
+		}
 	}
+	return false
 }
--- a/io/fakepl/group.go
+++ b/io/fakepl/group.go
@@ -119,7 +119,7 @@
 		g.term++
 		m.primary, m.term = true, g.term
 		for _, o := range g.members {
-			if o != m && !o.primary {
+			if o != m && !o.primary && !o.deaf {
 				o.term, o.log = g.term, append([]logEntry(nil), m.log...)
 			}
 		}
--- a/io/fakepl/member.go
+++ b/io/fakepl/member.go
@@ -27,6 +27,8 @@
 	primary bool
 	term    uint64
 	log     []logEntry
+	// deaf makes the replica receive nothing.
+	deaf bool
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -169,6 +171,16 @@
 	m.conns[conn] = caller
 }
 
+// SetDeaf makes a replica receive nothing of the primary's log; afterwards it receives all that it has missed.
+func (m *Member) SetDeaf(deaf bool) {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	m.deaf = deaf
+	if !deaf && !m.primary {
+		m.group.makeReplica(m)
+	}
+}
+
 func (m *Member) isDown() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -217,7 +229,7 @@
 		g.effectCounts[id]++
 	}
 	for _, o := range g.members {
-		if o == m || !o.primary && o.term == m.term {
+		if o == m || !o.primary && !o.deaf && o.term == m.term {
 			o.log = append(o.log, c)
 		}
 	}
--- a/io/fakepl/platform.go
+++ b/io/fakepl/platform.go
@@ -15,6 +15,8 @@
 	Group *Group
 	// MemberlessDatabases is the number of further databases in the configuration; they have no members.
 	MemberlessDatabases int
+	// SyncReplicas is the number of replicas that the configuration promises to hold each acknowledged commit.
+	SyncReplicas int
 
 	server *http.Server
 	addr   string
@@ -51,7 +53,7 @@
 	routes := []map[string]any{}
 	backends := []map[string]any{}
 	backend := func(name string) {
-		backends = append(backends, map[string]any{"name": name, "maxConns": maxConnsPerMember, "syncReplicas": 0})
+		backends = append(backends, map[string]any{"name": name, "maxConns": maxConnsPerMember, "syncReplicas": p.SyncReplicas})
 	}
 	route := func(name, kind, backend string, maxStalenessMs int) {
 		routes = append(routes, map[string]any{
--- a/io/group/group.go
+++ b/io/group/group.go
@@ -237,6 +237,13 @@
 	g.acknowledgedPosition = g.acknowledgedPosition.Max(position)
 }
 
+// lastAcknowledged returns the highest log position of an acknowledged commit.
+func (g *Group) lastAcknowledged() types.LogPosition {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.acknowledgedPosition
+}
+
 // currentTerm returns the term of the last primary that became active; zero before the first.
 func (g *Group) currentTerm() types.Term {
 	g.mu.Lock()
--- a/io/group/replace.go
+++ b/io/group/replace.go
@@ -33,10 +33,11 @@
 	// Transactions at a primary that is lost, or that may not be used any more, cannot commit.
 	letEnd := kind == switchover && g.mayUse(old)
 	if kind == switchover && !g.settings.Ownership.MayPromote(ctx, letEnd) {
-		g.logger.Warn("switchover delayed, an earlier owner may still serve the database")
-		if _, active := g.scheduler.Primary(); !active {
-			g.scheduler.SuspendPrimary(expectedPromotionTime)
-		}
+		c.delaySwitchover("an earlier owner may still serve the database")
+		return
+	}
+	if kind == switchover && !c.hasSuccessor(ctx, old) {
+		c.delaySwitchover("no member that stays holds all commits")
 		return
 	}
 	g.scheduler.SuspendPrimary(expectedPromotionTime)
@@ -48,7 +49,7 @@
 		end = c.quiesce(ctx, old)
 	}
 	g.closePrimaryConns(old)
-	candidate, term, found := c.elect(ctx, old, end)
+	candidate, term, found := c.elect(ctx, old, kind, end)
 	if !found {
 		g.logger.Warn("no member can be promoted")
 		pause.For(ctx, controllerInterval)
@@ -62,6 +63,15 @@
 	c.promote(ctx, candidate, term, old)
 }
 
+// delaySwitchover lets the old primary serve on if it is active. Statements do not wait for another one.
+func (c *failoverController) delaySwitchover(reason string) {
+	g := c.group
+	g.logger.Warn("switchover delayed, " + reason)
+	if _, active := g.scheduler.Primary(); !active {
+		g.scheduler.SuspendPrimary(expectedPromotionTime)
+	}
+}
+
 // hasCandidate reports whether a member other than the old primary is listed and not leaving.
 func (c *failoverController) hasCandidate(old types.TargetID) bool {
 	for _, m := range c.group.listMembers() {
@@ -72,6 +82,38 @@
 	return false
 }
 
+// hasSuccessor reports whether a member that stays has received all that the leaving primary holds. Without synchronous replicas, or when
+// the primary does not answer, any may be promoted.
+func (c *failoverController) hasSuccessor(ctx context.Context, old types.TargetID) bool {
+	g := c.group
+	if g.settings.SyncReplicas == 0 {
+		return true
+	}
+	end := c.logEnd(ctx, old)
+	if end.IsZero() {
+		return true
+	}
+	for _, o := range g.probeAll(ctx, c.otherMembers(old)) {
+		if o.err == nil && !o.member.Leaving && !o.status.Received.Before(end) {
+			return true
+		}
+	}
+	return false
+}
+
+// logEnd returns the end of a member's log; zero when the member is not listed or does not answer.
+func (c *failoverController) logEnd(ctx context.Context, target types.TargetID) types.LogPosition {
+	m, listed := c.group.member(target)
+	if !listed {
+		return types.LogPosition{}
+	}
+	observed := c.group.probe(ctx, m, stmt.Statement{Kind: stmt.Status})
+	if observed.err != nil {
+		return types.LogPosition{}
+	}
+	return observed.status.Received.Max(observed.applied)
+}
+
 // quiesce waits, for drainTimeout at most, until the work in flight at a leaving primary has ended. It returns the end
 // of the primary's log; zero when that is unknown.
 func (c *failoverController) quiesce(ctx context.Context, old types.TargetID) types.LogPosition {
@@ -85,42 +127,30 @@
 			return types.LogPosition{}
 		}
 	}
-	m, listed := g.member(old)
-	if !listed {
-		return types.LogPosition{}
-	}
-	observed := g.probe(ctx, m, stmt.Statement{Kind: stmt.Status})
-	if observed.err != nil {
-		return types.LogPosition{}
-	}
-	return observed.status.Received.Max(observed.applied)
+	return c.logEnd(ctx, old)
 }
 
-// elect returns the member with the longest log and the next term. It waits, for catchUpTimeout at most, for a member
+// elect returns the member to promote and the next term. In a planned replacement it waits, for catchUpTimeout at most, for a member
 // whose log reaches the given end; any log reaches a zero end.
-func (c *failoverController) elect(ctx context.Context, old types.TargetID, end types.LogPosition) (routes.Member, types.Term, bool) {
+func (c *failoverController) elect(
+	ctx context.Context, old types.TargetID, kind replacementKind, end types.LogPosition,
+) (routes.Member, types.Term, bool) {
 	g := c.group
 	deadline := g.settings.Clock.Now().Add(catchUpTimeout)
 	for {
 		observations := g.probeAll(ctx, c.otherMembers(old))
-		best, found := longestLog(observations)
-		if found && !c.electable(observations, best) {
-			g.logger.Warn("no member is known to hold all acknowledged commits", "best", best.member.Target,
-				"received", best.status.Received.String(), "seen", describeObservations(observations))
+		election := c.newElection(observations, kind, end)
+		best, found := election.Best()
+		promotable, isLate := found && election.CanPromote(best), g.settings.Clock.Now() >= deadline
+		mayCatchUp := g.settings.SyncReplicas > 0 && !end.IsZero() && !isLate
+		if found && !promotable && !mayCatchUp {
+			g.logger.Warn("no member is known to hold all acknowledged commits", "best", best.Target,
+				"received", best.Log.String(), "seen", describeObservations(observations))
 			return routes.Member{}, 0, false
 		}
-		term := g.currentTerm()
-		for _, o := range observations {
-			if o.err == nil {
-				term = max(term, o.status.Term, o.status.PausedTerm)
-			}
-		}
-		if p := g.settings.Ownership.RecordedPromotion(); p != nil {
-			term = max(term, p.Term)
-		}
-		caughtUp := found && !best.status.Received.Before(end)
-		if caughtUp || g.settings.Clock.Now() >= deadline {
-			return best.member, term + 1, found
+		if promotable && !best.Log.Before(end) || isLate {
+			member, listed := g.member(best.Target)
+			return member, c.nextTerm(observations), found && listed
 		}
 		if !pause.For(ctx, 20*time.Millisecond) {
 			return routes.Member{}, 0, false
@@ -128,42 +158,39 @@
 	}
 }
 
-// electable reports whether best, the member with the longest log, may be promoted.
-func (c *failoverController) electable(observations []observation, best observation) bool {
+// newElection returns what the observations of the members besides the old primary say about its replacement. The end is that of the
+// log of a primary that is replaced as planned, zero when it is unknown.
+func (c *failoverController) newElection(observations []observation, kind replacementKind, end types.LogPosition) place.Election {
 	g := c.group
 	election := place.Election{
-		SyncReplicas: g.settings.SyncReplicas, Members: len(observations), LongestLog: best.status.Received,
-		WithoutPrimary: g.settings.Clock.Since(c.lostAt),
+		SyncReplicas: g.settings.SyncReplicas, Planned: kind == switchover && !end.IsZero(), Members: len(observations),
+		WithoutPrimary: g.settings.Clock.Since(c.lostAt), LastAcknowledged: g.lastAcknowledged().Max(end),
 	}
 	for _, o := range observations {
 		switch {
 		case o.err == nil:
-			election.Answered++
+			election.Candidates = append(election.Candidates, place.Candidate{
+				Target: o.member.Target, Leaving: o.member.Leaving, Log: o.status.Received,
+			})
 		case o.isBusy():
 			election.Busy++
 		}
 	}
-	g.mu.Lock()
-	election.LastAcknowledged = g.acknowledgedPosition
-	g.mu.Unlock()
-	return election.CanPromote()
+	return election
 }
 
-// longestLog returns the member with the longest log among those that answered. Members that are leaving are considered
-// only when no other answered.
-func longestLog(observations []observation) (observation, bool) {
-	var best observation
-	found := false
+// nextTerm returns a term above all that are known.
+func (c *failoverController) nextTerm(observations []observation) types.Term {
+	term := c.group.currentTerm()
 	for _, o := range observations {
-		if o.err != nil {
-			continue
-		}
-		if !found || best.member.Leaving && !o.member.Leaving ||
-			best.member.Leaving == o.member.Leaving && best.status.Received.Before(o.status.Received) {
-			best, found = o, true
+		if o.err == nil {
+			term = max(term, o.status.Term, o.status.PausedTerm)
 		}
 	}
-	return best, found
+	if p := c.group.settings.Ownership.RecordedPromotion(); p != nil {
+		term = max(term, p.Term)
+	}
+	return term + 1
 }
 
 // otherMembers returns all members except the old primary.
