fix: an instance reports that it has stopped before its process ends

Since a refused connection proves nothing, a promotion soon after a planned stop would have waited for the end of the former lease, up to 10 s, and after the stop of a standby up to 5 s. An instance that has stopped working for a database now tells its owner so, with the epoch before which it does no work, or for all epochs when its process ends.

Evidence: TestPromotionDoesNotWaitForAnOwnerThatHasHandedOverAndEnded failed before (no promotion within 5 s of the crash of the primary) and passes (0.29 s).

--- a/io/node/fence_test.go
+++ b/io/node/fence_test.go
@@ -63,3 +63,20 @@
 	require.Equal(t, []string{"1"}, site.Group.CommittedValues("b"))
 	<-stopped
 }
+
+// TestPromotionDoesNotWaitForAnOwnerThatHasHandedOverAndEnded stops the owner and then lets the primary crash. The former owner cannot be
+// asked any more whether it has stopped; it has said so before its process ended.
+func TestPromotionDoesNotWaitForAnOwnerThatHasHandedOverAndEnded(t *testing.T) {
+	site, err := fakepl.NewPlatform(0)
+	require.NoError(t, err)
+	defer site.Close()
+	site.Configure(1, 300)
+	owner, _, others := awaitStandby(t, site, newDataCentre(t, site, 2))
+	require.Empty(t, others)
+	owner.stop()
+	require.NotEqual(t, string(owner.id), ownerOf(site))
+	site.Group.Member("i-1").Crash()
+	crashed := time.Now()
+	require.Eventually(t, func() bool { return site.Group.Primary() != "i-1" }, 5*time.Second, 10*time.Millisecond)
+	t.Logf("promoted %s after the crash", time.Since(crashed))
+}
--- a/io/node/ownership.go
+++ b/io/node/ownership.go
@@ -28,8 +28,13 @@
 	// lastStandbyAttempt is when this instance last tried to designate a standby or, while it acts as one, to become the owner.
 	lastStandbyAttempt clock.Moment
 
+	// drained is closed when the work under an ownership that has ended is over.
+	drained chan struct{}
+
 	mu     sync.Mutex
 	record ownerRecord
+	// began is the first epoch under which this instance is the owner; former owners work under earlier ones.
+	began types.Epoch
 	// acting is set while this instance acts as the standby: the record still names the owner that is dead.
 	acting bool
 	// standbys are the current standby, with a zero moment, and former ones with the moment of their removal from the record.
@@ -133,10 +138,13 @@
 // fence asks a former owner to stop, unless it is known to have stopped, and reports whether it has.
 func (o *ownership) fence(ctx context.Context, former hold.Owner, letEnd bool) bool {
 	o.mu.Lock()
-	stopped := o.fenced[former]
+	stopped, began := o.fenced[former], o.began
 	o.mu.Unlock()
-	if stopped || !o.requestStop(ctx, former, letEnd) {
-		return stopped
+	if stopped || o.node.ownerships.hasReportedStop(o.database, former, began) {
+		return true
+	}
+	if !o.requestStop(ctx, former, letEnd) {
+		return false
 	}
 	o.mu.Lock()
 	o.fenced[former] = true
--- a/io/node/ownershipmanager.go
+++ b/io/node/ownershipmanager.go
@@ -40,6 +40,8 @@
 	byDatabase map[types.DatabaseID]*ownership
 	// draining are the ownerships that have ended while their open transactions go on.
 	draining map[types.DatabaseID][]*ownership
+	// stopReports are the reports of former owners and standbys that they have stopped.
+	stopReports map[types.DatabaseID]map[hold.Owner]stopReport
 	// ownerlessSince is the moment since which a database has no living owner. After a claim that the store did not answer, it
 	// lies in the future, which delays the next claim.
 	ownerlessSince map[types.DatabaseID]clock.Moment
@@ -58,7 +60,7 @@
 func newOwnershipManager(n *Node) *ownershipManager {
 	return &ownershipManager{
 		node: n, detector: newFailureDetector(n), records: &recordsReader{node: n}, byDatabase: map[types.DatabaseID]*ownership{},
-		draining:       map[types.DatabaseID][]*ownership{},
+		draining: map[types.DatabaseID][]*ownership{}, stopReports: map[types.DatabaseID]map[hold.Owner]stopReport{},
 		ownerlessSince: map[types.DatabaseID]clock.Moment{}, members: map[types.DatabaseID][]routes.Member{},
 		standbyRenewals: map[types.DatabaseID]standbyRenewal{}, receivedMembers: map[types.DatabaseID][]routes.Member{},
 		fencedEpochs: map[types.DatabaseID]types.Epoch{},
@@ -149,15 +151,15 @@
 	n := m.node
 	return &ownership{
 		node: n, database: database.ID, record: record, fenced: map[hold.Owner]bool{},
-		standbys: map[hold.Owner]clock.Moment{},
-		lease:    hold.NewLease(n.settings.Clock, 0, n.settings.Clock.Now().Add(-hold.LeaseDuration)),
+		standbys: map[hold.Owner]clock.Moment{}, drained: make(chan struct{}),
+		lease: hold.NewLease(n.settings.Clock, 0, n.settings.Clock.Now().Add(-hold.LeaseDuration)),
 	}
 }
 
 // start starts serving a database that this instance owns now, or for which it acts as the standby.
 func (m *ownershipManager) start(database routes.Database, owned *ownership) {
 	n := m.node
-	owned.acquired = n.settings.Clock.Now()
+	owned.acquired, owned.began = n.settings.Clock.Now(), owned.lease.Epoch()
 	owned.group = group.New(group.Settings{
 		Database: database.ID, Self: n.settings.Self, MaxConnections: database.MaxConnections,
 		SyncReplicas: database.SyncReplicas, Dialer: n.settings.Dialer,
@@ -192,6 +194,7 @@
 	m.mu.Unlock()
 	owned.group.Drain()
 	m.node.goroutines.Go(func() {
+		defer close(owned.drained)
 		pause.For(m.node.ctx, drainTimeout)
 		owned.lease.Revoke()
 		m.mu.Lock()
@@ -200,6 +203,7 @@
 			delete(m.draining, owned.database)
 		}
 		m.mu.Unlock()
+		m.reportStop(owned.database, false)
 		owned.group.Close()
 	})
 }
@@ -217,16 +221,33 @@
 	return err == nil
 }
 
-// close ends all ownerships at once.
+// close ends all ownerships at once, and tells the owners of the databases for which this instance was an owner or the standby.
 func (m *ownershipManager) close() {
 	m.mu.Lock()
 	all := m.byDatabase
 	m.byDatabase = map[types.DatabaseID]*ownership{}
+	var draining []*ownership
+	for _, ended := range m.draining {
+		draining = append(draining, ended...)
+	}
 	m.mu.Unlock()
+	var ends sync.WaitGroup
 	for _, owned := range all {
 		owned.lease.Revoke()
-		owned.group.Close()
+		ends.Go(func() {
+			m.reportStop(owned.database, true)
+			owned.group.Close()
+		})
+	}
+	for _, database := range m.node.directory.heldDatabases() {
+		if all[types.DatabaseID(database)] == nil {
+			ends.Go(func() { m.reportStop(types.DatabaseID(database), true) })
+		}
+	}
+	for _, owned := range draining {
+		<-owned.drained
 	}
+	ends.Wait()
 	m.detector.close()
 }
 
--- a/io/node/peercalls.go
+++ b/io/node/peercalls.go
@@ -212,6 +212,9 @@
 		return &wire.CallReply{Kind: &wire.CallReply_Reached{Reached: n.serveReach(kind.Reach)}}
 	case *wire.Call_Fence:
 		return &wire.CallReply{Kind: &wire.CallReply_Fenced{Fenced: &wire.Fenced{Done: n.ownerships.serveFence(kind.Fence)}}}
+	case *wire.Call_Stopped:
+		n.ownerships.receiveStopReport(kind.Stopped)
+		return &wire.CallReply{Kind: &wire.CallReply_StopNoted{StopNoted: &wire.StopNoted{}}}
 	case *wire.Call_Probe:
 		return &wire.CallReply{Kind: &wire.CallReply_Probed{Probed: n.serveProbe(kind.Probe)}}
 	case *wire.Call_Offer:
--- a/io/node/standby.go
+++ b/io/node/standby.go
@@ -77,7 +77,8 @@
 	o.mu.Unlock()
 	stopped := true
 	for _, standby := range active {
-		stopped = o.requestStop(ctx, standby, letEnd) && stopped
+		hasReported := o.node.ownerships.hasReportedStop(o.database, standby, o.lease.Epoch()+1)
+		stopped = (hasReported || o.requestStop(ctx, standby, letEnd)) && stopped
 	}
 	if !stopped && removable {
 		next.Standby = nil
@@ -212,7 +213,7 @@
 		return
 	}
 	owned.mu.Lock()
-	owned.acting, owned.acquired = false, n.settings.Clock.Now()
+	owned.acting, owned.acquired, owned.began = false, n.settings.Clock.Now(), owned.lease.Epoch()
 	owned.mu.Unlock()
 	n.logger.Info("acting standby became the owner", "database", owned.database, "epoch", owned.lease.Epoch())
 }
--- a/io/node/syncreplica_test.go
+++ b/io/node/syncreplica_test.go
@@ -27,7 +27,7 @@
 	caller, err := fakepl.Dial(instance.callers, "primary")
 	require.NoError(t, err)
 	defer caller.Close()
-	var written []string
+	written := make([]string, 0, 10)
 	for n := range 10 {
 		value := fmt.Sprint(n)
 		mustSucceed(t, caller, "WRITE b "+value)
