fix: an instance that has become the standby does not rule out to act when its former work ends

A stop report fences the instance up to the record that names the owner. When that record names the reporting instance as the standby, it could not have acted at that epoch. Found by reading; no test shows it.

--- a/io/node/standby.go
+++ b/io/node/standby.go
@@ -77,6 +77,7 @@
 	o.mu.Unlock()
 	stopped := true
 	for _, standby := range active {
+		// A standby acts under the epoch of the owner.
 		hasReported := o.node.ownerships.hasReportedStop(o.database, standby, o.lease.Epoch()+1)
 		stopped = (hasReported || o.requestStop(ctx, standby, letEnd)) && stopped
 	}
--- a/io/node/stopreport.go
+++ b/io/node/stopreport.go
@@ -34,6 +34,10 @@
 	if !known || record.lost || !listed || record.Instance == n.settings.Self.ID {
 		return
 	}
+	if !processEnds && record.HasStandby(n.settings.Self) {
+		// The standby has to be able to act, and can be asked.
+		return
+	}
 	epoch := types.Epoch(record.revision)
 	if processEnds {
 		epoch = allEpochs
