fix: a log is compared by what it holds of the history in force

An election compared positions of two histories as if they were of one: the log of a former primary, which ended beyond the start of the present term, counted as longer than one that ended at that start, and commits which the promotion before had dropped were back.

A timeline of terms with their starts says where a log leaves the history in force. It is recorded with each promotion, together with the end of the promoted log, so that the next owner knows it as well, and decides elections, the bound of acknowledged commits and the choice of a successor.

--- a/core/hold/record.go
+++ b/core/hold/record.go
@@ -33,12 +33,6 @@
 	FormerEra types.Era `json:"formerEra,omitempty"`
 }
 
-// Promotion is the intent to promote a member to the primary of a new term.
-type Promotion struct {
-	Target types.TargetID `json:"target"`
-	Term   types.Term     `json:"term"`
-}
-
 // maxFormerOwners bounds Record.Former; the oldest entries are dropped and FormerOmitted is set. A promotion asks all of them at
 // once, so that the bound limits its calls.
 const maxFormerOwners = 16
--- a/core/types/logposition.go
+++ b/core/types/logposition.go
@@ -4,8 +4,8 @@
 
 // LogPosition is a position in the log of a database with the term in which it was written; the zero value precedes all others.
 type LogPosition struct {
-	Term   Term
-	Number Position
+	Term   Term     `json:"term"`
+	Number Position `json:"number"`
 }
 
 // Compare orders positions by term and then by number; it returns -1, 0 or 1.
--- a/io/fakepl/group.go
+++ b/io/fakepl/group.go
@@ -23,8 +23,10 @@
 	PromoteDelay time.Duration
 	DemoteDelay  time.Duration
 
-	store           *Store
-	mu              sync.Mutex
+	store *Store
+	mu    sync.Mutex
+	// present is the primary of the newest term, running or not.
+	present         *Member
 	members         []*Member
 	term            uint64
 	promotionTokens []uint64
@@ -48,6 +50,7 @@
 		m.listen(listener)
 		m.publishEntry("ready")
 	}
+	g.present = g.members[0]
 	return g, nil
 }
 
@@ -116,7 +119,7 @@
 }
 
 // Promote makes the member the primary of the next term after PromoteDelay. It returns the HTTP status of the
-// platform's response: 200, or 409 if the member is unknown or down.
+// platform's response: 200, or 409 if the member is unknown or down. The promotion of the present primary changes nothing.
 func (g *Group) Promote(token uint64, id string) int {
 	m := g.Member(id)
 	if m == nil || m.isDown() {
@@ -124,11 +127,15 @@
 	}
 	g.mu.Lock()
 	g.promotionTokens = append(g.promotionTokens, token)
+	isPresent := m == g.present
 	g.mu.Unlock()
+	if isPresent {
+		return 200
+	}
 	time.AfterFunc(g.PromoteDelay, func() {
 		g.mu.Lock()
 		g.term++
-		m.primary, m.term = true, g.term
+		g.present, m.primary, m.term = m, true, g.term
 		for _, o := range g.members {
 			if o != m && !o.primary && !o.deaf {
 				o.term, o.log = g.term, append([]logEntry(nil), m.log...)
--- a/io/fakepl/member.go
+++ b/io/fakepl/member.go
@@ -109,18 +109,23 @@
 }
 
 // Restart starts a crashed member again with the log that it had. If there has been a promotion since, it becomes a
-// replica.
+// replica, which follows the new primary unless it is deaf.
 func (m *Member) Restart() error {
 	listener, err := net.Listen("tcp", m.address)
 	if err != nil {
 		return err
 	}
 	m.group.mu.Lock()
-	if m.term < m.group.term {
+	switch {
+	case m.term == m.group.term:
+	case m.deaf:
+		m.primary = false
+	default:
 		m.group.makeReplica(m)
 	}
 	m.group.mu.Unlock()
 	m.listen(listener)
+	m.publishEntry("ready")
 	return nil
 }
 
@@ -157,14 +162,17 @@
 	return m.unresponsiveConns[conn]
 }
 
-// PartitionFrom simulates a network partition between the member and one caller: the open connections from the caller
-// are closed, and new ones get no response. It replaces the caller of the last call; an empty name ends the partition.
-func (m *Member) PartitionFrom(caller string) {
+// PartitionFrom simulates a network partition between the member and callers: the open connections from the callers
+// are closed, and new ones get no response. They replace the callers of the last call; none ends the partition.
+func (m *Member) PartitionFrom(callers ...string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.partitionedCallers = map[string]bool{caller: true}
+	m.partitionedCallers = map[string]bool{}
+	for _, caller := range callers {
+		m.partitionedCallers[caller] = true
+	}
 	for conn, name := range m.conns {
-		if name == caller {
+		if m.partitionedCallers[name] {
 			_ = conn.Close()
 		}
 	}
--- a/io/group/failover.go
+++ b/io/group/failover.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"turmericpulley/core/clock"
+	"turmericpulley/core/hold"
 	"turmericpulley/core/routes"
 	"turmericpulley/core/stmt"
 	"turmericpulley/core/types"
@@ -13,6 +14,8 @@
 // failoverController monitors the members of one database, finds its primary and replaces it.
 type failoverController struct {
 	group *Group
+	// lineage says which history is in force; nil before the first search for a primary.
+	lineage *hold.Lineage
 	// lostAt is the moment since which no primary has been active; zero while one is.
 	lostAt clock.Moment
 	// soughtAt is when other instances were last asked for a primary that this one has not reached yet.
@@ -108,6 +111,9 @@
 		g.scheduler.SuspendPrimary(left)
 		return
 	}
+	if c.lineage == nil {
+		c.lineage = hold.NewLineage(g.settings.Ownership.RecordedPromotion())
+	}
 	observations := g.probeAll(ctx, g.listMembers())
 	best, found := c.highestTermPrimary(observations)
 	if found && !g.mayUse(best.member.Target) {
@@ -180,12 +186,13 @@
 	g.mu.Lock()
 	g.primary, g.term = o.member.Target, o.status.Term
 	g.mu.Unlock()
+	timeline := c.lineage.Opened(o.report())
 	c.lostAt = 0
 	g.setUsable(o.member.Target, true, "primary found")
 	g.updateScheduler()
 	g.scheduler.SetPrimary(o.member.Target, o.status.Term, o.applied, o.queriedAt)
 	g.logger.Info("primary active", "member", o.member.Target, "term", o.status.Term, "position", o.applied.String(),
-		"epoch", g.settings.Ownership.Lease().Epoch())
+		"timeline", timeline.String(), "epoch", g.settings.Ownership.Lease().Epoch())
 }
 
 // handlePrimaryStatus handles the status of a suspected primary that answered.
--- a/io/group/probe.go
+++ b/io/group/probe.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"turmericpulley/core/clock"
+	"turmericpulley/core/hold"
 	"turmericpulley/core/routes"
 	"turmericpulley/core/stmt"
 	"turmericpulley/core/types"
@@ -106,6 +107,24 @@
 	return status, r.Position, err
 }
 
+// report returns what the member reported; it is meaningful only without an error.
+func (o observation) report() hold.Report {
+	return hold.Report{
+		Target: o.member.Target, Primary: o.status.Primary, Term: o.status.Term, End: o.status.Received, StartedUnixMs: o.member.StartedUnixMs,
+	}
+}
+
+// reportsOf returns the reports of the members that answered.
+func reportsOf(observations []observation) []hold.Report {
+	reports := make([]hold.Report, 0, len(observations))
+	for _, o := range observations {
+		if o.err == nil {
+			reports = append(reports, o.report())
+		}
+	}
+	return reports
+}
+
 // isBusy reports whether the member is alive but had no free connection or slot for the query.
 func (o observation) isBusy() bool {
 	var r RefusedError
--- a/io/group/replace.go
+++ b/io/group/replace.go
@@ -49,7 +49,7 @@
 		end = c.quiesce(ctx, old)
 	}
 	g.closePrimaryConns(old)
-	candidate, term, found := c.elect(ctx, old, kind, end)
+	candidate, promotion, found := c.elect(ctx, old, kind, end)
 	if !found {
 		g.logger.Warn("no member can be promoted")
 		pause.For(ctx, controllerInterval)
@@ -60,7 +60,7 @@
 		g.scheduler.SuspendPrimary(expectedPromotionTime)
 		return
 	}
-	c.promote(ctx, candidate, term, old)
+	c.promote(ctx, candidate, promotion, old)
 }
 
 // delaySwitchover lets the old primary serve on if it is active. Statements do not wait for another one.
@@ -93,8 +93,10 @@
 	if end.IsZero() {
 		return true
 	}
-	for _, o := range g.probeAll(ctx, c.otherMembers(old)) {
-		if o.err == nil && !o.member.Leaving && !o.status.Received.Before(end) {
+	observations := g.probeAll(ctx, c.otherMembers(old))
+	timeline := c.lineage.Timeline(reportsOf(observations))
+	for _, o := range observations {
+		if o.err == nil && !o.member.Leaving && timeline.Compare(o.status.Received, end) >= 0 {
 			return true
 		}
 	}
@@ -130,11 +132,11 @@
 	return c.logEnd(ctx, old)
 }
 
-// elect returns the member to promote and the next term. In a planned replacement it waits, for catchUpTimeout at most, for a member
+// elect returns the member to promote and the promotion to record. In a planned replacement it waits, for catchUpTimeout at most, for a member
 // whose log reaches the given end; any log reaches a zero end.
 func (c *failoverController) elect(
 	ctx context.Context, old types.TargetID, kind replacementKind, end types.LogPosition,
-) (routes.Member, types.Term, bool) {
+) (routes.Member, hold.Promotion, bool) {
 	g := c.group
 	deadline := g.settings.Clock.Now().Add(catchUpTimeout)
 	for {
@@ -145,17 +147,29 @@
 		mayCatchUp := g.settings.SyncReplicas > 0 && !end.IsZero() && !isLate
 		if found && !promotable && !mayCatchUp {
 			g.logger.Warn("no member is known to hold all acknowledged commits", "best", best.Target,
-				"received", best.Log.String(), "seen", describeObservations(observations))
-			return routes.Member{}, 0, false
+				"received", best.Log.String(), "timeline", election.Timeline.String(), "seen", describeObservations(observations))
+			return routes.Member{}, hold.Promotion{}, false
 		}
-		if promotable && !best.Log.Before(end) || isLate {
+		if promotable && election.Timeline.Compare(best.Log, end) >= 0 || isLate {
 			member, listed := g.member(best.Target)
-			return member, c.nextTerm(observations), found && listed
+			return member, c.newPromotion(best.Target, observations), found && listed
 		}
 		if !pause.For(ctx, 20*time.Millisecond) {
-			return routes.Member{}, 0, false
+			return routes.Member{}, hold.Promotion{}, false
+		}
+	}
+}
+
+// newPromotion returns the promotion of one of the observed members as it is recorded.
+func (c *failoverController) newPromotion(target types.TargetID, observations []observation) hold.Promotion {
+	reports := reportsOf(observations)
+	promotion := hold.Promotion{Target: target, Term: c.nextTerm(observations), Timeline: c.lineage.NextRecord(reports)}
+	for _, r := range reports {
+		if r.Target == target {
+			promotion.Before = r
 		}
 	}
+	return promotion
 }
 
 // newElection returns what the observations of the members besides the old primary say about its replacement. The end is that of the
@@ -165,6 +179,7 @@
 	election := place.Election{
 		SyncReplicas: g.settings.SyncReplicas, Planned: kind == switchover && !end.IsZero(), Members: len(observations),
 		WithoutPrimary: g.settings.Clock.Since(c.lostAt), LastAcknowledged: g.lastAcknowledged().Max(end),
+		Timeline: c.lineage.Timeline(reportsOf(observations)),
 	}
 	for _, o := range observations {
 		switch {
@@ -210,12 +225,12 @@
 const promoteCallWindow = 500 * time.Millisecond
 
 // promote records the promotion in the store, sends the promotion call and waits until the member is the primary.
-func (c *failoverController) promote(ctx context.Context, candidate routes.Member, term types.Term, old types.TargetID) {
+func (c *failoverController) promote(ctx context.Context, candidate routes.Member, promotion hold.Promotion, old types.TargetID) {
 	g := c.group
 	began := g.settings.Clock.Now()
-	token, err := g.settings.Ownership.RecordPromotion(ctx, hold.Promotion{Target: candidate.Target, Term: term})
+	token, err := g.settings.Ownership.RecordPromotion(ctx, promotion)
 	if err != nil {
-		g.logger.Warn("promotion not recorded", "member", candidate.Target, "term", term, "error", err)
+		g.logger.Warn("promotion not recorded", "member", candidate.Target, "term", promotion.Term, "error", err)
 		pause.For(ctx, controllerInterval)
 		return
 	}
@@ -226,13 +241,14 @@
 	callCtx, cancel := context.WithTimeout(ctx, promoteCallTimeout)
 	outcome, err := g.settings.Promoter.Promote(callCtx, g.settings.Database, candidate.Target, token)
 	cancel()
-	g.logger.Info("promotion requested", "member", candidate.Target, "term", term, "token", token, "old", old,
-		"outcome", int(outcome), "error", err)
+	g.logger.Info("promotion requested", "member", candidate.Target, "term", promotion.Term, "token", token, "old", old,
+		"log", promotion.Before.End.String(), "timeline", promotion.Timeline.String(), "outcome", int(outcome), "error", err)
 	if outcome == PromoteNotDone || outcome == PromoteRefused {
 		pause.For(ctx, controllerInterval)
 		return
 	}
-	c.awaitPromotion(ctx, candidate, term, began.Add(promotionTimeout))
+	c.lineage.Requested(promotion)
+	c.awaitPromotion(ctx, candidate, promotion.Term, began.Add(promotionTimeout))
 	if m, known := g.lastEntry(old); known && old != candidate.Target {
 		c.stepDown(m)
 	}
--- a/io/soak/plan_test.go
+++ b/io/soak/plan_test.go
@@ -175,7 +175,7 @@
 		env.withMember(r, func(m string) {
 			env.platform.Group.Member(m).PartitionFrom(env.randomInstance(r).name)
 			time.Sleep(randomDuration(r))
-			env.platform.Group.Member(m).PartitionFrom("")
+			env.platform.Group.Member(m).PartitionFrom()
 		})
 	}},
 }
