fix: an old primary is used again only when a later promotion had no effect for certain

The owner took absence for proof: the promoted member was no longer listed, so its promotion counted as failed, and the old primary was used in its old term. An owner that knew no term accepted a primary in any term as the result of its own promotion, and a group's term could go back.

The lineage keeps a promotion open until its end is known, across owners and failed promotions after it. Until then no member is used in a lower term; the old primary is promoted itself, or confirmed by the platform, which accepts the promotion of its present primary and changes nothing. A promotion that had no effect is recorded as such.

--- a/core/hold/lineage.go
+++ b/core/hold/lineage.go
@@ -14,6 +14,8 @@
 	// Timeline is the history that the promotion continues. It includes earlier promotions of which nobody has seen whether they took
 	// effect.
 	Timeline types.Timeline `json:"timeline,omitempty"`
+	// Void is set when the promotion is known to have had no effect.
+	Void bool `json:"void,omitempty"`
 }
 
 // Report is what a member reports about itself.
@@ -30,8 +32,14 @@
 // newestTerm returns the newest term of which the member knows.
 func (r Report) newestTerm() types.Term { return max(r.Term, r.End.Term) }
 
-// ledTo reports whether the member reports the effect of the promotion.
-func (p Promotion) ledTo(r Report) bool {
+// Voided returns the record of a promotion that had no effect, so that the history in force is the given one.
+func (p Promotion) Voided(t types.Timeline) Promotion {
+	p.Void, p.Timeline = true, t
+	return p
+}
+
+// LedTo reports whether the member reports the effect of the promotion.
+func (p Promotion) LedTo(r Report) bool {
 	return r.Primary && r.Target == p.Target && r.Term > p.Before.newestTerm()
 }
 
@@ -41,6 +49,12 @@
 	return r.Target == p.Target && r.StartedUnixMs == p.Before.StartedUnixMs && r.newestTerm() <= p.Before.newestTerm()
 }
 
+// ConfirmsPresent reports whether the member was a primary before the promotion and still reports the same term. If the platform accepted
+// the promotion, and it would have taken effect by now, the member is the platform's present primary.
+func (p Promotion) ConfirmsPresent(r Report) bool {
+	return p.Before.Primary && r.Primary && r.Term == p.Before.Term && p.isRefutedBy(r)
+}
+
 // applyTo returns the timeline after the promotion took effect in the term.
 func (p Promotion) applyTo(t types.Timeline, term types.Term) types.Timeline {
 	return t.With(term, p.end())
@@ -54,8 +68,12 @@
 	return types.LogPosition{Term: p.Before.newestTerm(), Number: p.Before.End.Number}
 }
 
-// Lineage decides for one owner which history of the database is in force: which promotions have taken effect, and which logs belong to
-// that history. It is not safe for concurrent use.
+// Lineage decides for one owner which history of the database is in force: which promotions have taken effect, which members may be used
+// as the primary, and which logs belong to that history. It is not safe for concurrent use.
+//
+// A promotion counts as without effect only if the platform has said so or its target, running since, reports that it is in the term that
+// it had. That a member is no longer listed, does not answer or has come back proves nothing. While a promotion is open, the old primary
+// is not used in its old term: it has to be promoted itself, or confirmed by the platform.
 type Lineage struct {
 	// timeline is the history in which this owner lets its callers read and write.
 	timeline types.Timeline
@@ -73,9 +91,33 @@
 		return &Lineage{}
 	}
 	p := *recorded
+	if p.Void {
+		return &Lineage{timeline: p.Timeline, recorded: p.Timeline}
+	}
 	return &Lineage{timeline: p.Timeline, recorded: p.Timeline, open: &p, inherited: true}
 }
 
+// HasOpenPromotion reports whether a promotion may have taken effect unseen.
+func (l *Lineage) HasOpenPromotion() bool { return l.open != nil }
+
+// Refute closes the open promotion if one of the reports proves that it had no effect. The caller makes sure that its call cannot take
+// effect any more.
+func (l *Lineage) Refute(reports []Report) {
+	for _, r := range reports {
+		if l.open != nil && l.open.isRefutedBy(r) {
+			l.open, l.inherited = nil, false
+		}
+	}
+}
+
+// MayUse reports whether the member may be used as the primary in the term that it reports.
+func (l *Lineage) MayUse(r Report) bool {
+	if !r.Primary || r.Term < l.recorded.Last() {
+		return false
+	}
+	return l.open == nil || l.open.LedTo(r) || r.Term >= l.open.Term
+}
+
 // Requested records that the platform was asked for the promotion, which may take effect.
 func (l *Lineage) Requested(p Promotion) {
 	if l.inherited {
@@ -86,7 +128,7 @@
 
 // Opened records that the member is used as the primary, and returns the history in force then.
 func (l *Lineage) Opened(r Report) types.Timeline {
-	if l.open != nil && l.open.ledTo(r) {
+	if l.open != nil && l.open.LedTo(r) {
 		l.timeline = l.open.applyTo(l.timeline, r.Term)
 	} else {
 		l.timeline = l.timeline.UpTo(r.Term)
--- a/io/group/failover.go
+++ b/io/group/failover.go
@@ -14,7 +14,7 @@
 // failoverController monitors the members of one database, finds its primary and replaces it.
 type failoverController struct {
 	group *Group
-	// lineage says which history is in force; nil before the first search for a primary.
+	// lineage decides which history is in force; nil before the first search for a primary.
 	lineage *hold.Lineage
 	// lostAt is the moment since which no primary has been active; zero while one is.
 	lostAt clock.Moment
@@ -98,8 +98,8 @@
 // entries are complete only two seconds after the store's return.
 const firstPrimaryTimeout = 2500 * time.Millisecond
 
-// findPrimary probes all members and makes the primary of the highest term the active one. When it is missing for too
-// long, a failover starts.
+// findPrimary probes all members and makes the primary of the highest term the active one if it may be used. When it is missing for too
+// long, a failover starts. A primary that may not be used in its term is a candidate then.
 func (c *failoverController) findPrimary(ctx context.Context) {
 	g := c.group
 	now := g.settings.Clock.Now()
@@ -115,12 +115,16 @@
 		c.lineage = hold.NewLineage(g.settings.Ownership.RecordedPromotion())
 	}
 	observations := g.probeAll(ctx, g.listMembers())
-	best, found := c.highestTermPrimary(observations)
-	if found && !g.mayUse(best.member.Target) {
+	if g.settings.Clock.Since(c.lostAt) >= promotionTimeout {
+		c.lineage.Refute(reportsOf(observations))
+	}
+	best, found := highestTermPrimary(observations)
+	usable := found && c.lineage.MayUse(best.report())
+	if usable && !g.mayUse(best.member.Target) {
 		c.replacePrimary(ctx, best.member.Target, switchover)
 		return
 	}
-	if found {
+	if usable {
 		c.openPrimary(best)
 		return
 	}
@@ -130,20 +134,26 @@
 			return
 		}
 	}
+	old, _ := g.scheduler.Primary()
 	timeout := missingPrimaryTimeout
-	if g.currentTerm() == 0 {
+	switch {
+	case found:
+		// The open promotion of another member may still take effect until then.
+		old, timeout = "", promotionTimeout
+	case g.currentTerm() == 0:
 		timeout = firstPrimaryTimeout
 	}
 	if g.settings.Clock.Since(c.lostAt) > timeout {
-		old, _ := g.scheduler.Primary()
+		if found {
+			g.logger.Warn("primary needs a promotion, another member may have been promoted", "member", best.member.Target,
+				"term", best.status.Term, "openPromotion", c.lineage.HasOpenPromotion())
+		}
 		c.replacePrimary(ctx, old, failover)
 	}
 }
 
-// highestTermPrimary returns the primary of the highest term. False means that there is none, or that it has been replaced:
-// another member reports a higher term, or a promotion of another member to a higher term is recorded and is not known to have
-// failed.
-func (c *failoverController) highestTermPrimary(observations []observation) (observation, bool) {
+// highestTermPrimary returns the primary of the highest term. False means that there is none, or that another member reports a higher term.
+func highestTermPrimary(observations []observation) (observation, bool) {
 	var best observation
 	found := false
 	var known types.Term
@@ -156,36 +166,23 @@
 			best, found = o, true
 		}
 	}
-	if !found || best.status.Term < known {
-		return best, false
-	}
-	if p := c.group.settings.Ownership.RecordedPromotion(); p != nil && best.status.Term < p.Term && best.member.Target != p.Target {
-		return best, c.promotionFailed(p.Target, observations)
-	}
-	return best, true
-}
-
-// promotionFailed reports whether the recorded promotion of the target certainly had no effect: after promotionTimeout the
-// promotion call has long ended, and the target still reports that it is a replica or is no longer listed.
-func (c *failoverController) promotionFailed(target types.TargetID, observations []observation) bool {
-	if c.group.settings.Clock.Since(c.lostAt) < promotionTimeout {
-		return false
-	}
-	for _, o := range observations {
-		if o.member.Target == target {
-			return o.err == nil && !o.status.Primary
-		}
-	}
-	_, listed := c.group.member(target)
-	return !listed
+	return best, found && best.status.Term >= known
 }
 
-// openPrimary makes the member the active primary, to which the scheduler sends statements.
+// openPrimary makes the member the active primary, to which the scheduler sends statements. It does nothing in a term that is lower than
+// one that has been served already.
 func (c *failoverController) openPrimary(o observation) {
 	g := c.group
 	g.mu.Lock()
-	g.primary, g.term = o.member.Target, o.status.Term
+	served := g.term
+	if o.status.Term >= served {
+		g.primary, g.term = o.member.Target, o.status.Term
+	}
 	g.mu.Unlock()
+	if o.status.Term < served {
+		g.logger.Error("primary not used, a later term has been served", "member", o.member.Target, "term", o.status.Term, "served", served)
+		return
+	}
 	timeline := c.lineage.Opened(o.report())
 	c.lostAt = 0
 	g.setUsable(o.member.Target, true, "primary found")
@@ -193,6 +190,20 @@
 	g.scheduler.SetPrimary(o.member.Target, o.status.Term, o.applied, o.queriedAt)
 	g.logger.Info("primary active", "member", o.member.Target, "term", o.status.Term, "position", o.applied.String(),
 		"timeline", timeline.String(), "epoch", g.settings.Ownership.Lease().Epoch())
+	if p := g.settings.Ownership.RecordedPromotion(); p != nil && !p.Void && !p.LedTo(o.report()) {
+		c.voidPromotion(*p, timeline)
+	}
+}
+
+// voidPromotion records that the promotion had no effect, so that the next owner need not find out.
+func (c *failoverController) voidPromotion(p hold.Promotion, timeline types.Timeline) {
+	g := c.group
+	g.goroutines.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), promoteCallTimeout)
+		defer cancel()
+		err := g.settings.Ownership.VoidPromotion(ctx, p.Voided(timeline))
+		g.logger.Info("promotion had no effect", "member", p.Target, "term", p.Term, "timeline", timeline.String(), "error", err)
+	})
 }
 
 // handlePrimaryStatus handles the status of a suspected primary that answered.
--- a/io/group/member_test.go
+++ b/io/group/member_test.go
@@ -308,6 +308,8 @@
 
 func (soleOwner) RecordPromotion(context.Context, hold.Promotion) (types.Epoch, error) { return 0, nil }
 
+func (soleOwner) VoidPromotion(context.Context, hold.Promotion) error { return nil }
+
 func (soleOwner) UnknownPromotions() time.Duration { return 0 }
 
 func (soleOwner) RecordedPromotion() *hold.Promotion { return nil }
--- a/io/group/promoter.go
+++ b/io/group/promoter.go
@@ -38,6 +38,8 @@
 	// RecordPromotion records in the store that the member is about to be promoted, and returns the fencing token of the
 	// promotion.
 	RecordPromotion(ctx context.Context, promotion hold.Promotion) (types.Epoch, error)
+	// VoidPromotion replaces the recorded promotion by one that says that it had no effect.
+	VoidPromotion(ctx context.Context, promotion hold.Promotion) error
 	// UnknownPromotions returns for how long a promotion may still take effect that the record does not list; zero when it lists all.
 	UnknownPromotions() time.Duration
 	// RecordedPromotion returns the last promotion that an owner recorded, or nil.
--- a/io/group/replace.go
+++ b/io/group/replace.go
@@ -248,25 +248,35 @@
 		return
 	}
 	c.lineage.Requested(promotion)
-	c.awaitPromotion(ctx, candidate, promotion.Term, began.Add(promotionTimeout))
+	c.awaitPromotion(ctx, candidate, promotion, outcome, began.Add(promotionTimeout))
 	if m, known := g.lastEntry(old); known && old != candidate.Target {
 		c.stepDown(m)
 	}
 }
 
-// awaitPromotion makes the promoted member the active primary as soon as it reports that it is primary. The platform counts terms
-// by promotions that took effect, so that after a refused one the member's term may be lower than the recorded one.
-func (c *failoverController) awaitPromotion(ctx context.Context, candidate routes.Member, term types.Term, deadline clock.Moment) {
+// awaitPromotion makes the promoted member the active primary as soon as it reports the effect of the promotion.
+//
+// The platform accepts the promotion of its present primary and changes nothing. A primary that still reports its old term when an accepted
+// promotion would long have taken effect is that one.
+func (c *failoverController) awaitPromotion(
+	ctx context.Context, candidate routes.Member, promotion hold.Promotion, outcome PromoteOutcome, deadline clock.Moment,
+) {
 	g := c.group
+	var last observation
 	for g.settings.Clock.Now() < deadline {
-		observed := g.probeOnIdleConn(ctx, candidate)
-		if observed.err == nil && observed.status.Primary && observed.status.Term > g.currentTerm() && g.settings.Ownership.Lease().Valid() {
-			c.openPrimary(observed)
+		last = g.probeOnIdleConn(ctx, candidate)
+		if last.err == nil && c.lineage.MayUse(last.report()) && g.settings.Ownership.Lease().Valid() {
+			c.openPrimary(last)
 			return
 		}
 		if !pause.For(ctx, 25*time.Millisecond) {
 			return
 		}
 	}
-	g.logger.Warn("promotion did not take effect", "member", candidate.Target, "term", term)
+	if outcome == PromoteAccepted && last.err == nil && promotion.ConfirmsPresent(last.report()) && g.settings.Ownership.Lease().Valid() {
+		g.logger.Warn("platform confirmed the present primary", "member", candidate.Target, "term", last.status.Term)
+		c.openPrimary(last)
+		return
+	}
+	g.logger.Warn("promotion did not take effect", "member", candidate.Target, "term", promotion.Term)
 }
--- a/io/node/history_test.go
+++ b/io/node/history_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -79,3 +80,66 @@
 		})
 	}
 }
+
+// TestOldPrimaryIsPromotedBeforeItIsUsedAgain guards against writes at a primary that the platform has replaced. The primary is cut off from
+// the instances, another member is promoted and lost for good with the third one. When the cut ends, the old primary is all that is left:
+// it must not get a write in its old term.
+func TestOldPrimaryIsPromotedBeforeItIsUsedAgain(t *testing.T) {
+	for _, name := range []string{"served in the new term", "not served in the new term", "next owner"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			site, owner, other := historySite(t)
+			old := site.Group.Member("i-1")
+			old.PartitionFrom(string(owner.id), string(other.id))
+			promoted, third := awaitPromotion(t, site, "i-1")
+			if name == "served in the new term" {
+				awaitWrite(t, other.callers)
+			}
+			for _, m := range []*fakepl.Member{promoted, third} {
+				m.Crash()
+				site.Store.Delete("servers/" + m.ID)
+			}
+			if name == "next owner" {
+				owner.stop()
+			}
+			time.Sleep(entriesAge)
+			old.PartitionFrom()
+			for returned := time.Now(); site.Group.Primary() != "i-1"; {
+				require.Less(t, time.Since(returned), 20*time.Second, "not promoted")
+				served := fakepl.StatementSucceeds(other.callers, "primary", "WRITE a 1")
+				require.False(t, served && site.Group.Primary() != "i-1", "served in its old term")
+			}
+			awaitWrite(t, other.callers)
+		})
+	}
+}
+
+// TestPresentPrimaryServesOnWhenAPromotionFailedAndItsTargetIsLost lets the platform fail while the primary is cut off, and lose the other
+// members for good. The platform accepts the promotion of its present primary and changes nothing: that one is used again in its term.
+func TestPresentPrimaryServesOnWhenAPromotionFailedAndItsTargetIsLost(t *testing.T) {
+	t.Parallel()
+	site, owner, other := historySite(t)
+	old := site.Group.Member("i-1")
+	asked := make(chan string, 100)
+	site.Store.Promote = func(_ string, token uint64, _, member string) int {
+		asked <- member
+		if member != "i-1" {
+			return http.StatusInternalServerError
+		}
+		return site.Group.Promote(token, member)
+	}
+	old.PartitionFrom(string(owner.id), string(other.id))
+	<-asked
+	for _, id := range []string{"i-2", "i-3"} {
+		site.Group.Member(id).Crash()
+		site.Store.Delete("servers/" + id)
+	}
+	time.Sleep(entriesAge)
+	old.PartitionFrom()
+	require.Eventually(t, func() bool { return fakepl.StatementSucceeds(other.callers, "primary", "WRITE a 1") }, 15*time.Second, 20*time.Millisecond)
+	require.Eventually(t, func() bool { p := recordOf(site).Promotion; return p.Void && p.Target == "i-1" }, 2*time.Second, 10*time.Millisecond)
+	owner.stop()
+	began := time.Now()
+	awaitWrite(t, other.callers)
+	require.Less(t, time.Since(began), 2*time.Second, "the next owner knows that the promotion had no effect")
+}
--- a/io/node/ownership.go
+++ b/io/node/ownership.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"turmericpulley/core/clock"
 	"turmericpulley/core/fault"
 	"turmericpulley/core/hold"
@@ -207,6 +209,22 @@
 	return o.lease.Epoch(), nil
 }
 
+// errActing means that the owner record names another instance, which is dead.
+var errActing = errors.New("a standby that acts for a dead owner does not write the owner record")
+
+// VoidPromotion replaces the recorded promotion if it is still the same one.
+func (o *ownership) VoidPromotion(ctx context.Context, promotion hold.Promotion) error {
+	if o.isActing() {
+		return errActing
+	}
+	next := o.current()
+	if p := next.Promotion; p == nil || p.Void || p.Target != promotion.Target || p.Term != promotion.Term {
+		return nil
+	}
+	next.Promotion = &promotion
+	return o.writeRecord(ctx, next, o.node.settings.Clock.Now())
+}
+
 // writeRecord replaces the owner record if the store still holds the revision that next carries, and renews the lease from the
 // moment sent, at which the call began.
 func (o *ownership) writeRecord(ctx context.Context, next ownerRecord, sent clock.Moment) error {
