fix: replicas with commits that a promotion dropped serve no reads

A primary that has not written since its promotion reports its log's end with the term before. Reads asked replicas for that position, and a replica that holds dropped commits is beyond it: callers could see commits there which no other read shows. The position counts as one of the primary's own term now.

Evidence: TestReplicaWithDroppedCommitsServesNoReads failed before and passes.

--- a/core/place/members.go
+++ b/core/place/members.go
@@ -52,15 +52,19 @@
 // SetPrimary lets statements go to the primary of the term. The position is the end of its log, as read by a query sent at
 // sentAt. A new primary or term starts a new history. MinPosition then uses the position instead of a last commit of an
 // earlier term, because the promotion may have dropped the log entry of that commit.
+//
+// A primary that has not written since its promotion reports a position of an earlier term. It counts as one of its own term: replicas with
+// commits that the promotion dropped are beyond the position in the earlier term.
 func (s *Scheduler) SetPrimary(primary types.TargetID, term types.Term, position types.LogPosition, sentAt clock.Moment) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.primary != primary || s.term != term {
 		s.history.Reset()
-		s.termStart, s.term = position, term
+		s.term = term
+		s.termStart = s.inPrimaryTerm(position)
 	}
 	s.primary, s.primaryActive, s.primaryExpectedAt = primary, true, 0
-	s.history.Record(position, sentAt)
+	s.history.Record(s.inPrimaryTerm(position), sentAt)
 	s.dispatch(s.clock.Now())
 }
 
@@ -85,10 +89,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if target == s.primary && s.primaryActive {
-		s.history.Record(position, sentAt)
+		s.history.Record(s.inPrimaryTerm(position), sentAt)
 	}
 }
 
+// inPrimaryTerm returns the position of the primary's log in the primary's term.
+func (s *Scheduler) inPrimaryTerm(position types.LogPosition) types.LogPosition {
+	position.Term = max(position.Term, s.term)
+	return position
+}
+
 // RecordReplicaPosition records the position that a replica has applied.
 func (s *Scheduler) RecordReplicaPosition(target types.TargetID, position types.LogPosition) {
 	s.mu.Lock()
--- a/io/group/failover.go
+++ b/io/group/failover.go
@@ -187,7 +187,7 @@
 	c.lostAt = 0
 	g.setUsable(o.member.Target, true, "primary found")
 	g.updateScheduler()
-	g.scheduler.SetPrimary(o.member.Target, o.status.Term, o.applied, o.queriedAt)
+	g.scheduler.SetPrimary(o.member.Target, o.status.Term, o.applied.Max(o.status.Received), o.queriedAt)
 	g.logger.Info("primary active", "member", o.member.Target, "term", o.status.Term, "position", o.applied.String(),
 		"timeline", timeline.String(), "epoch", g.settings.Ownership.Lease().Epoch())
 	if p := g.settings.Ownership.RecordedPromotion(); p != nil && !p.Void && !p.LedTo(o.report()) {
