--- a/core/hold/lineage.go
+++ b/core/hold/lineage.go
@@ -126,11 +126,18 @@
 	l.recorded, l.open, l.inherited = p.Timeline, &p, false
 }
 
-// Opened records that the member is used as the primary, and returns the history in force then.
+// Opened records that the member is used as the primary, and returns the history in force then. A primary that has not written yet reports
+// where its term began; otherwise that is known only from the record of its promotion.
 func (l *Lineage) Opened(r Report) types.Timeline {
-	if l.open != nil && l.open.LedTo(r) {
+	promoted, unwritten := l.open != nil && l.open.LedTo(r), r.End.Term < r.Term && r.End.Number > 0
+	switch {
+	case promoted && unwritten:
+		l.timeline = l.timeline.With(r.Term, types.LogPosition{Term: l.open.Before.newestTerm(), Number: r.End.Number})
+	case promoted:
 		l.timeline = l.open.applyTo(l.timeline, r.Term)
-	} else {
+	case unwritten && l.timeline.Last() < r.Term:
+		l.timeline = l.timeline.With(r.Term, r.End)
+	default:
 		l.timeline = l.timeline.UpTo(r.Term)
 	}
 	l.recorded, l.open, l.inherited = l.timeline, nil, false
--- a/core/hold/lineage_test.go
+++ b/core/hold/lineage_test.go
@@ -123,6 +123,16 @@
 	require.Equal(t, own.Timeline(nil), next.Opened(primary("y", 4, 400)), "an owner that finds the primary later learns its start from the record")
 }
 
+// TestPrimaryThatHasNotWrittenTellsWhereItsTermBegan lets the promoted member receive more between the election and its promotion. The other
+// replica, which received the same, must not be taken for one with dropped commits.
+func TestPrimaryThatHasNotWrittenTellsWhereItsTermBegan(t *testing.T) {
+	recorded := promotionOf(replica("y", 3, 50))
+	unwritten := hold.Report{Target: "y", Primary: true, Term: 4, End: at(3, 52), StartedUnixMs: 1}
+	require.Zero(t, hold.NewLineage(&recorded).Opened(unwritten).Doubtful(at(3, 52)))
+	require.EqualValues(t, 1, hold.NewLineage(&recorded).Opened(unwritten).Doubtful(at(3, 53)))
+	require.Equal(t, types.Timeline{{Term: 3}, {Term: 4, Start: 52}}, hold.NewLineage(nil).Opened(unwritten), "without a record")
+}
+
 // TestUnrecordedPromotionMakesEarlierLogsDoubtful lets an owner find a term of which it has no record, as after a restoration of the store.
 func TestUnrecordedPromotionMakesEarlierLogsDoubtful(t *testing.T) {
 	l := hold.NewLineage(nil)
--- a/io/group/failover.go
+++ b/io/group/failover.go
@@ -99,7 +99,7 @@
 const firstPrimaryTimeout = 2500 * time.Millisecond
 
 // findPrimary probes all members and makes the primary of the highest term the active one if it may be used. When it is missing for too
-// long, a failover starts. A primary that may not be used in its term is a candidate then.
+// long, a failover starts.
 func (c *failoverController) findPrimary(ctx context.Context) {
 	g := c.group
 	now := g.settings.Clock.Now()
@@ -134,6 +134,13 @@
 			return
 		}
 	}
+	c.failOver(ctx, best, found)
+}
+
+// failOver replaces the primary once it has been missing for too long. A primary that was found, and that may not be used in its term, is a
+// candidate then.
+func (c *failoverController) failOver(ctx context.Context, unusable observation, found bool) {
+	g := c.group
 	old, _ := g.scheduler.Primary()
 	timeout := missingPrimaryTimeout
 	switch {
@@ -143,13 +150,18 @@
 	case g.currentTerm() == 0:
 		timeout = firstPrimaryTimeout
 	}
-	if g.settings.Clock.Since(c.lostAt) > timeout {
-		if found {
-			g.logger.Warn("primary needs a promotion, another member may have been promoted", "member", best.member.Target,
-				"term", best.status.Term, "openPromotion", c.lineage.HasOpenPromotion())
-		}
-		c.replacePrimary(ctx, old, failover)
+	missing := g.settings.Clock.Since(c.lostAt)
+	if found && missing < timeout {
+		g.scheduler.SuspendPrimary(timeout - missing)
+	}
+	if missing <= timeout {
+		return
+	}
+	if found {
+		g.logger.Warn("primary needs a promotion, another member may have been promoted", "member", unusable.member.Target,
+			"term", unusable.status.Term, "openPromotion", c.lineage.HasOpenPromotion())
 	}
+	c.replacePrimary(ctx, old, failover)
 }
 
 // highestTermPrimary returns the primary of the highest term. False means that there is none, or that another member reports a higher term.
--- a/io/group/replace.go
+++ b/io/group/replace.go
@@ -146,7 +146,7 @@
 		promotable, isLate := found && election.CanPromote(best), g.settings.Clock.Now() >= deadline
 		mayCatchUp := g.settings.SyncReplicas > 0 && !end.IsZero() && !isLate
 		if found && !promotable && !mayCatchUp {
-			g.logger.Warn("no member is known to hold all acknowledged commits", "best", best.Target,
+			g.logger.Warn("no member is known to hold all acknowledged commits, and none that were dropped", "best", best.Target,
 				"received", best.Log.String(), "timeline", election.Timeline.String(), "seen", describeObservations(observations))
 			return routes.Member{}, hold.Promotion{}, false
 		}
