--- a/io/fakepl/group.go
+++ b/io/fakepl/group.go
@@ -25,8 +25,10 @@
 
 	store *Store
 	mu    sync.Mutex
-	// present is the primary of the newest term, running or not.
+	// present is the primary of the newest term, running or not, and promotedAt when its promotion took effect.
 	present         *Member
+	promotedAt      time.Time
+	lateCommits     map[string]bool
 	members         []*Member
 	term            uint64
 	promotionTokens []uint64
@@ -39,7 +41,7 @@
 // NewGroup starts the members of a database on loopback, the first one as primary, and writes their entries to the
 // store.
 func NewGroup(store *Store, name string, lag time.Duration, ids ...string) (*Group, error) {
-	g := &Group{Name: name, ApplyLag: lag, PromoteDelay: 50 * time.Millisecond, DemoteDelay: time.Second, store: store, term: 1, effectCounts: map[string]int{}}
+	g := &Group{Name: name, ApplyLag: lag, PromoteDelay: 50 * time.Millisecond, DemoteDelay: time.Second, store: store, term: 1, effectCounts: map[string]int{}, lateCommits: map[string]bool{}}
 	for i, id := range ids {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -100,6 +102,17 @@
 	return g.effectCounts[id]
 }
 
+// lateAfter is how long after a promotion a commit at the earlier primary may have been on its way.
+const lateAfter = 300 * time.Millisecond
+
+// IsLateCommit reports whether the write with the statement id was committed at an earlier primary, later than lateAfter after the promotion
+// of another member took effect.
+func (g *Group) IsLateCommit(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.lateCommits[id]
+}
+
 // CommittedValues returns the values committed to the item, in the order of the log of the primary of the current term.
 func (g *Group) CommittedValues(item string) []string {
 	g.mu.Lock()
@@ -135,7 +148,7 @@
 	time.AfterFunc(g.PromoteDelay, func() {
 		g.mu.Lock()
 		g.term++
-		g.present, m.primary, m.term = m, true, g.term
+		g.present, g.promotedAt, m.primary, m.term = m, time.Now(), true, g.term
 		for _, o := range g.members {
 			if o != m && !o.primary && !o.deaf {
 				o.term, o.log = g.term, append([]logEntry(nil), m.log...)
--- a/io/fakepl/member.go
+++ b/io/fakepl/member.go
@@ -252,6 +252,9 @@
 	c := logEntry{term: m.term, sequence: uint64(len(m.log) + 1), committedAt: time.Now(), items: items}
 	for _, id := range ids {
 		g.effectCounts[id]++
+		if m != g.present && c.committedAt.Sub(g.promotedAt) > lateAfter {
+			g.lateCommits[id] = true
+		}
 	}
 	for _, o := range g.members {
 		if o == m || !o.primary && !o.deaf && o.term == m.term {
