fix: a member that has lost its log does not prove that its promotion had no effect

A member may start again under its id with nothing of before, while the owner still knows its earlier entry. Its log has to be at least as long as at the election, or its report proves nothing. Found by reading.

Evidence: TestOldPrimaryIsNotUsedWhileAPromotionMayHaveTakenEffect (its target has lost its log) failed before and passes.

--- a/core/hold/lineage.go
+++ b/core/hold/lineage.go
@@ -44,9 +44,11 @@
 }
 
 // isRefutedBy reports whether the member's report proves that the promotion has had no effect so far: the target has not started again
-// since the election, and has not moved to a later term.
+// since the election, and has not moved to a later term. A target that has started again may hold nothing of before; its log shows that
+// before its entry in the store does.
 func (p Promotion) isRefutedBy(r Report) bool {
-	return r.Target == p.Target && r.StartedUnixMs == p.Before.StartedUnixMs && r.newestTerm() <= p.Before.newestTerm()
+	hasRunOn := r.StartedUnixMs == p.Before.StartedUnixMs && r.End.Number >= p.Before.End.Number
+	return r.Target == p.Target && hasRunOn && r.newestTerm() <= p.Before.newestTerm()
 }
 
 // ConfirmsPresent reports whether the member was a primary before the promotion and still reports the same term. If the platform accepted
--- a/core/hold/lineage_test.go
+++ b/core/hold/lineage_test.go
@@ -39,10 +39,11 @@
 	}{
 		"its target is gone":                       {nil, false},
 		"its target has started again":             {[]hold.Report{restarted}, false},
+		"its target has lost its log":              {[]hold.Report{replica("y", 3, 0)}, false},
 		"its target's log is at another member":    {[]hold.Report{replica("z", 3, 50)}, false},
 		"its target follows a later primary":       {[]hold.Report{replica("y", 4, 50)}, false},
 		"its target runs on as a replica":          {[]hold.Report{replica("y", 3, 52)}, true},
-		"its target runs on, at a log of the past": {[]hold.Report{{Target: "y", Term: 3, End: at(2, 49), StartedUnixMs: 1}}, true},
+		"its target runs on, at a log of the past": {[]hold.Report{{Target: "y", Term: 3, End: at(2, 50), StartedUnixMs: 1}}, true},
 	} {
 		for _, requested := range []bool{false, true} {
 			l := hold.NewLineage(&recorded)
