feat: processor time and lateness of an instance in log and metrics

The settings' processor time is read, and each instance measures four times a second how late its own timers fire, what it has used, and how old its configuration is. Lines: "timers fire late", "configuration stale", "configuration fresh again"; counters processor_milliseconds, late_timers, timer_lateness_worst_milliseconds.

--- a/cmd/instance.go
+++ b/cmd/instance.go
@@ -145,7 +145,7 @@
 		Meter: m, Metrics: metrics, Counters: counters,
 		Self: fleet.Instance{
 			ID: s.Instance, PeerAddress: s.Peers, DataCentre: s.DataCentre, State: fleet.Live,
-			Incarnation: fleet.Incarnation(time.Now().UnixMilli()),
+			Incarnation: fleet.Incarnation(time.Now().UnixMilli()), Processor: s.Processor,
 		},
 		Peers: listeners[0], HTTP: listeners[1], Callers: listeners[2],
 		Seeds:         s.Seeds,
--- a/core/fleet/instance.go
+++ b/core/fleet/instance.go
@@ -10,4 +10,6 @@
 	DataCentre  types.DataCentre `json:"dataCentre"`
 	Incarnation Incarnation      `json:"incarnation"`
 	State       State            `json:"state"`
+	// Processor is the processor time that the instance may use; zero means unknown.
+	Processor types.Millicores `json:"processor,omitempty"`
 }
--- a/core/types/ids.go
+++ b/core/types/ids.go
@@ -18,6 +18,9 @@
 // InstanceID names one running instance of the proxy.
 type InstanceID string
 
+// Millicores is processor time per time, in thousandths of a core.
+type Millicores int
+
 // DataCentre names a data centre.
 type DataCentre string
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -45,6 +45,7 @@
 	limits                *limits
 	budget                *budget.Pool
 	usage                 *usage.Table
+	selfWatch             *selfWatch
 	callers               *front.Server
 	readyServer           *http.Server
 	readyListener         *sock.Bounded
@@ -77,6 +78,7 @@
 	n.ownerships = newOwnershipManager(n)
 	n.storeSync = newStoreSync(n)
 	n.limits, n.usage = newLimits(n), usage.NewTable()
+	n.selfWatch = newSelfWatch(n)
 	if s.Budget == (budget.Limits{}) {
 		s.Budget = budget.LimitsFor(0, 0)
 	}
@@ -97,6 +99,7 @@
 	n.goroutines.Go(func() { n.memberEntries.run(ctx) })
 	n.goroutines.Go(func() { n.ownerships.run(ctx) })
 	n.goroutines.Go(func() { n.ownerships.keepRenewed(ctx) })
+	n.goroutines.Go(func() { n.selfWatch.run(ctx) })
 	n.logger.Info("instance started", "incarnation", uint64(s.Self.Incarnation), "callers", s.Callers.Addr().String())
 	return n
 }
@@ -181,6 +184,7 @@
 			Read: n.memberAnswers.StatementsBehindShare.Load,
 		},
 	}...)
+	counts = append(counts, n.selfWatch.counters()...)
 	counts = append(counts, n.settings.Counters...)
 	if err := n.settings.Meter.PublishCounters(counts...); err != nil {
 		n.logger.Warn("counters not published", "error", err)
