fix: databases are owned by instances with processor time for them

Cause: an owner handles every statement of its database, and it was chosen by rendezvous hashing without regard to what its machine has. 102 of the 108 machines have 0.134 of a core, and a database needs more than that at the peak. The owner answers late, those who ping it take it for dead, and the next owner is as small: a takeover each second, with connections and retries on top.

Fix: an instance's entry says what processor time it has. Owner candidates are ranked by its order of magnitude first (a factor of two), then by hash as before; where all machines are alike, nothing changes.

--- a/core/fleet/owner.go
+++ b/core/fleet/owner.go
@@ -8,7 +8,7 @@
 )
 
 // OwnerCandidates returns the instances that may own the database, the owner first: the live ones in data centres that hold
-// a member of it, or all live ones when that leaves none. It ranks all of them on each call, so callers that serve
+// a member of it, or all live ones when that leaves none. Those with more processor time come first. It ranks all of them on each call, so callers that serve
 // requests cache the result until the revision changes.
 func (m Membership) OwnerCandidates(database policy.Database) []Instance {
 	nearby := make([]Instance, 0, len(m.Instances))
@@ -20,7 +20,7 @@
 	if len(nearby) == 0 {
 		nearby = m.Live()
 	}
-	return rank(string(database.Database), nearby)
+	return rankOwners(string(database.Database), nearby)
 }
 
 func hasMemberIn(database policy.Database, dataCentre types.DataCentre) bool {
--- a/core/fleet/ranks.go
+++ b/core/fleet/ranks.go
@@ -32,11 +32,15 @@
 		r.Remove(i.ID)
 		return
 	}
-	_, present := r.others[i.ID]
+	known, present := r.others[i.ID]
 	r.others[i.ID] = i
-	if !present {
-		r.adjust(i, 1)
+	if present && processorClass(known) == processorClass(i) {
+		return
+	}
+	if present {
+		r.adjust(known, -1)
 	}
+	r.adjust(i, 1)
 }
 
 // Remove removes another instance.
@@ -50,7 +54,7 @@
 // adjust adds delta to the rank for each database for which the instance precedes this one.
 func (r *Ranks) adjust(i Instance, delta int) {
 	for database, entry := range r.databases {
-		if precedes(entry.hash, i, r.self) {
+		if precedesAsOwner(entry.hash, i, r.self) {
 			entry.preceding += delta
 			r.databases[database] = entry
 		}
@@ -63,13 +67,13 @@
 	if !found {
 		entry.hash = xxhash.Sum64String(string(database))
 		for _, i := range r.others {
-			if precedes(entry.hash, i, r.self) {
+			if precedesAsOwner(entry.hash, i, r.self) {
 				entry.preceding++
 			}
 		}
 		r.databases[database] = entry
 	}
-	if i, present := r.others[excluded]; present && precedes(entry.hash, i, r.self) {
+	if i, present := r.others[excluded]; present && precedesAsOwner(entry.hash, i, r.self) {
 		return entry.preceding - 1
 	}
 	return entry.preceding
--- a/core/fleet/ranks_test.go
+++ b/core/fleet/ranks_test.go
@@ -12,15 +12,17 @@
 	"turmericpulley/core/types"
 )
 
-// TestRanksMatchOwnerCandidates adds, removes and marks instances as leaving in a random order. After each step it compares
+// TestRanksMatchOwnerCandidates adds, removes, resizes and marks instances as leaving in a random order. After each step it compares
 // each rank with a new ranking of all instances.
 func TestRanksMatchOwnerCandidates(t *testing.T) {
 	random := rand.New(rand.NewPCG(3, 1))
-	self := fleet.Instance{ID: "self", State: fleet.Live}
+	self := fleet.Instance{ID: "self", State: fleet.Live, Processor: 200}
 	ranks := fleet.NewRanks(self)
 	present := map[types.InstanceID]fleet.Instance{self.ID: self}
 	for range 400 {
-		i := fleet.Instance{ID: types.InstanceID(fmt.Sprintf("n%d", random.IntN(30))), State: fleet.Live}
+		i := fleet.Instance{
+			ID: types.InstanceID(fmt.Sprintf("n%d", random.IntN(30))), State: fleet.Live, Processor: types.Millicores(random.IntN(1000)),
+		}
 		switch random.IntN(3) {
 		case 0:
 			ranks.Remove(i.ID)
--- a/core/fleet/score.go
+++ b/core/fleet/score.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,9 +26,24 @@
 	score score
 }
 
-// precedes reports whether instance a ranks before instance b for the hash of a key.
-func precedes(key uint64, a, b Instance) bool {
-	return cmp.Or(cmp.Compare(scoreOf(key, b), scoreOf(key, a)), compareIDs(a, b)) < 0
+// processorClass groups instances whose processor time differs by less than a factor of two; a higher class has more. All work on a
+// database passes its owner, so that a small machine may be too slow for one while a larger one has time for several.
+func processorClass(i Instance) int { return bits.Len(uint(max(i.Processor, 0))) }
+
+// precedesAsOwner reports whether instance a ranks before instance b as the owner of the database whose name has the hash.
+func precedesAsOwner(database uint64, a, b Instance) bool {
+	return cmp.Or(
+		cmp.Compare(processorClass(b), processorClass(a)),
+		cmp.Compare(scoreOf(database, b), scoreOf(database, a)),
+		compareIDs(a, b),
+	) < 0
+}
+
+// rankOwners returns the instances in the order in which they should own the database.
+func rankOwners(database string, instances []Instance) []Instance {
+	ranked := rank(database, instances)
+	slices.SortStableFunc(ranked, func(a, b Instance) int { return cmp.Compare(processorClass(b), processorClass(a)) })
+	return ranked
 }
 
 // rank returns the instances in descending order of their scores for the key.
--- a/io/node/directory.go
+++ b/io/node/directory.go
@@ -170,6 +170,17 @@
 	return membership.OwnerCandidates(policy.Database{Database: database, Members: []policy.Member{{DataCentre: dataCentre}}})
 }
 
+// placement returns the known instances with how many databases each of them owns.
+func (d *directory) placement() fleet.Placement {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	owned := make(map[types.InstanceID]int, len(d.owners))
+	for _, record := range d.owners {
+		owned[record.Instance]++
+	}
+	return fleet.Placement{Instances: d.sortedByID(), Owned: owned}
+}
+
 // readers returns the store readers of this instance's data centre. The caller must not modify the slice.
 func (d *directory) readers() []fleet.Instance {
 	d.mu.Lock()
--- a/io/node/handover.go
+++ b/io/node/handover.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// moveInterval is how long an owner keeps a database before it tries to move the ownership to the data centre of the
-	// primary, and the time between two such attempts. No standby is designated earlier either.
+	// moveInterval is how long an owner keeps a database before it tries to move the ownership to a better place, and the time between
+	// two such attempts. No standby is designated earlier either.
 	moveInterval = 2 * time.Second
 	// moveIntervalAfterTakeover replaces moveInterval for a database that had another owner before. That owner may be cut off
 	// from the primary, and the move may give the database back to it.
@@ -70,41 +70,43 @@
 	handovers.Wait()
 }
 
-// moveNearPrimary hands a database over to an instance in the data centre of its primary, so that its statements need not
-// travel between data centres.
-func (m *ownershipManager) moveNearPrimary(ctx context.Context, owned *ownership) {
+// maxSuccessorsAsked is the number of instances to which an owner tries to hand a database over before it keeps it for another interval.
+const maxSuccessorsAsked = 3
+
+// relocate hands a database over to an instance in the data centre of its primary, so that its statements need not travel between data
+// centres, or to one that has more processor time left for it.
+func (m *ownershipManager) relocate(ctx context.Context, owned *ownership) {
 	n := m.node
 	primary, active := owned.group.Primary()
-	here := n.settings.Self.DataCentre
 	interval := moveInterval
 	if len(owned.current().Former) > 0 {
 		interval = moveIntervalAfterTakeover
 	}
-	if !active || primary.DataCentre == here || primary.Leaving || n.settings.Clock.Since(owned.acquired) < interval ||
+	if !active || primary.Leaving || n.settings.Clock.Since(owned.acquired) < interval ||
 		n.settings.Clock.Since(owned.lastMove) < interval || m.isLeaving() {
 		return
 	}
 	owned.lastMove = n.settings.Clock.Now()
-	for _, instance := range n.directory.all() {
-		if instance.DataCentre == primary.DataCentre {
-			m.handOver(ctx, owned, primary.DataCentre)
-			return
-		}
-	}
+	successors := n.directory.placement().Successors(n.settings.Self, owned.database, primary.DataCentre)
+	m.handOverToFirst(ctx, owned, successors[:min(len(successors), maxSuccessorsAsked)])
 }
 
 // handOver hands the database over to an instance that can take it, preferably one in the data centre, and reports whether it
 // found one.
 func (m *ownershipManager) handOver(ctx context.Context, owned *ownership, dataCentre types.DataCentre) bool {
-	n := m.node
+	return m.handOverToFirst(ctx, owned, m.node.directory.placement().Candidates(owned.database, dataCentre))
+}
+
+// handOverToFirst hands the database over to the first of the instances that can take it, and reports whether it found one.
+func (m *ownershipManager) handOverToFirst(ctx context.Context, owned *ownership, candidates []fleet.Instance) bool {
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
-	for _, instance := range n.directory.ownerCandidates(owned.database, dataCentre) {
-		if instance.ID != n.settings.Self.ID && m.handOverTo(ctx, owned, instance) {
+	for _, instance := range candidates {
+		if instance.ID != m.node.settings.Self.ID && m.handOverTo(ctx, owned, instance) {
 			return true
 		}
 	}
-	return dataCentre != "" && m.handOver(ctx, owned, "")
+	return false
 }
 
 // handOverToWitness hands the database over to a witness: an instance that reaches the primary when this one does not. It reports
--- a/io/node/ownershipmanager.go
+++ b/io/node/ownershipmanager.go
@@ -142,7 +142,7 @@
 			m.restoreRecord(ctx, owned, 0)
 		}
 		m.completeRecord(ctx, owned)
-		m.moveNearPrimary(ctx, owned)
+		m.relocate(ctx, owned)
 		m.designateStandby(ctx, owned)
 		m.sendMembers(ctx, owned)
 	}
