fix: an owner does not hand its database to a smaller machine

Cause: an owner far from its primary moved to any instance near it that was less than four times as loaded, and tried the next one when the large machines there did not answer.

An owner on a small machine need not wait 8 s after a takeover when it gives the database to a larger machine that is no former owner. Distance counts twice instead of four times: one database on a small machine takes all that it has.

Test: TestOwnerDoesNotMoveToASmallerMachineNearThePrimary, red before.

--- a/core/fleet/placement.go
+++ b/core/fleet/placement.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// distanceFactor is how many times less loaded an instance in another data centre must be to own a database rather than one in the
+	// distanceFactor is how many times less loaded an instance in another data centre must be to get a database rather than one in the
 	// data centre of the primary: each statement then crosses between data centres once more.
-	distanceFactor = 4
+	distanceFactor = 2
 	// moveFactor is how many times less loaded another instance must be for an owner to hand a database over. Moving a database between
 	// two instances that differ by less would not pay for the handover, and the next change could move it back.
 	moveFactor = 2
@@ -24,30 +24,33 @@
 	Owned     map[types.InstanceID]int
 }
 
-// Successors returns the instances to which the owner should hand the database over, the best first; none when it should keep it.
+// Successors returns the instances to which the owner should hand the database over, the best first; none when it should keep it. A machine
+// of a lower processor class than the owner's gets no database from it, wherever the primary is.
 func (p Placement) Successors(owner Instance, database types.DatabaseID, primary types.DataCentre) []Instance {
-	isNear := owner.DataCentre == primary
 	current := p.load(owner, 0)
-	var successors []Instance
-	for _, i := range p.Candidates(database, primary) {
-		next := p.load(i, 1)
-		switch {
-		case i.ID == owner.ID:
-		case i.DataCentre == primary && !isNear:
-			if current*distanceFactor > next {
-				successors = append(successors, i)
-			}
-		case i.DataCentre != primary && isNear:
-			if current >= next*distanceFactor {
-				successors = append(successors, i)
-			}
-		case current >= next*moveFactor:
-			successors = append(successors, i)
+	return slices.DeleteFunc(p.Candidates(database, primary), func(i Instance) bool {
+		if i.ID == owner.ID || processorClass(i) < processorClass(owner) {
+			return true
 		}
+		return current < p.load(i, 1)*gainNeeded(owner.DataCentre == primary, i.DataCentre == primary)
+	})
+}
+
+// gainNeeded returns how many times less loaded the next owner must be than the present one, by whether each is near the primary.
+func gainNeeded(isOwnerNear, isNextNear bool) float64 {
+	switch {
+	case isOwnerNear && !isNextNear:
+		return moveFactor * distanceFactor
+	case isNextNear && !isOwnerNear:
+		return 1.0 / distanceFactor
+	default:
+		return moveFactor
 	}
-	return successors
 }
 
+// IsLarger reports whether the instance is of a higher processor class than the other one.
+func (i Instance) IsLarger(than Instance) bool { return processorClass(i) > processorClass(than) }
+
 // Candidates returns the live instances in the order in which they should get the database: by the load that they would then have, where
 // one in another data centre than the primary's counts distanceFactor times.
 func (p Placement) Candidates(database types.DatabaseID, primary types.DataCentre) []Instance {
--- a/core/fleet/placement_test.go
+++ b/core/fleet/placement_test.go
@@ -85,11 +85,18 @@
 	members := mixedFleet()
 	placement := fleet.Placement{Instances: members.Instances, Owned: map[types.InstanceID]int{"z0-0": 1}}
 	successors := placement.Successors(members.Instances[0], "db", "z1")
-	require.NotEmpty(t, successors)
-	require.Equal(t, types.DataCentre("z1"), successors[0].DataCentre)
-	require.Equal(t, largeProcessor, successors[0].Processor)
+	require.Len(t, successors, 2)
 	for _, i := range successors {
 		require.Equal(t, types.DataCentre("z1"), i.DataCentre)
+		require.Equal(t, largeProcessor, i.Processor)
+	}
+}
+
+// TestOwnerDoesNotMoveToASmallerMachineNearThePrimary has large machines near the primary that do not answer, or have databases enough.
+func TestOwnerDoesNotMoveToASmallerMachineNearThePrimary(t *testing.T) {
+	placement := fleet.Placement{Instances: mixedFleet().Instances, Owned: map[types.InstanceID]int{"z0-0": 4, "z1-0": 5, "z1-1": 5}}
+	for _, i := range placement.Successors(placement.Instances[0], "db", "z1") {
+		require.Equal(t, largeProcessor, i.Processor, "%s", i.ID)
 	}
 }
 
--- a/io/node/handover.go
+++ b/io/node/handover.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"turmericpulley/core/fleet"
+	"turmericpulley/core/hold"
 	"turmericpulley/core/pause"
 	"turmericpulley/core/types"
 	"turmericpulley/io/wire"
@@ -16,7 +17,7 @@
 	// moveInterval is how long an owner keeps a database before it tries to move the ownership to a better place, and the time between
 	// two such attempts. No standby is designated earlier either.
 	moveInterval = 2 * time.Second
-	// moveIntervalAfterTakeover replaces moveInterval for a database that had another owner before. That owner may be cut off
+	// moveIntervalAfterTakeover replaces the first moveInterval for a database that had another owner before. That owner may be cut off
 	// from the primary, and the move may give the database back to it.
 	moveIntervalAfterTakeover = 8 * time.Second
 	// offerTimeout bounds the read of the owner record by an instance that is asked whether it could own a database.
@@ -78,16 +79,18 @@
 func (m *ownershipManager) relocate(ctx context.Context, owned *ownership) {
 	n := m.node
 	primary, active := owned.group.Primary()
-	interval := moveInterval
-	if len(owned.current().Former) > 0 {
-		interval = moveIntervalAfterTakeover
-	}
-	if !active || primary.Leaving || n.settings.Clock.Since(owned.acquired) < interval ||
-		n.settings.Clock.Since(owned.lastMove) < interval || m.isLeaving() {
+	held := n.settings.Clock.Since(owned.acquired)
+	if !active || primary.Leaving || held < moveInterval || n.settings.Clock.Since(owned.lastMove) < moveInterval || m.isLeaving() {
 		return
 	}
 	owned.lastMove = n.settings.Clock.Now()
 	successors := n.directory.placement().Successors(n.settings.Self, owned.database, primary.DataCentre)
+	if former := owned.current().Former; len(former) > 0 && held < moveIntervalAfterTakeover {
+		// A machine that may be too slow for the database need not wait, if it gives the database to another one than had it.
+		successors = slices.DeleteFunc(successors, func(i fleet.Instance) bool {
+			return !i.IsLarger(n.settings.Self) || slices.ContainsFunc(former, func(f hold.Owner) bool { return f.Instance == i.ID })
+		})
+	}
 	m.handOverToFirst(ctx, owned, successors[:min(len(successors), maxSuccessorsAsked)])
 }
 
