fix: followers in large data centres read the store in time when their readers are cut off

What callers would see: a change that was confirmed more than 5 s before is not in force at an instance whose two store readers have lost the store (CONFIG).

Cause: a follower's copy counts as fresh for 2 s, and then it waits for its turn, a twelfth of a second for each instance before it. That was meant for ten followers. From 28 on, turn and a slow read end after the 5 s.

Fix: the first turns of a data centre take a second in all, however many followers it has. Later ones are as far apart as before, so that an absent store gets the calls of all followers once.

Test: TestLastFollowerReadsTheStoreBeforeTheLimitOfChanges, red before from 28 followers on.

--- a/core/cover/ownread.go
+++ b/core/cover/ownread.go
@@ -3,8 +3,10 @@
 import "time"
 
 const (
-	// ownReadInterval is the time between the first own reads of two followers of a data centre: together they read the store 12
-	// times a second, so that a follower among ten has read it within the second that freshness leaves.
+	// firstReadSpan is the time within which all followers of a data centre have begun their first own read: the second that freshness
+	// leaves of the 3 s within which a change must be in force.
+	firstReadSpan = time.Second
+	// ownReadInterval is the longest time between the first own reads of two followers, and between later ones of all together.
 	ownReadInterval = time.Second / 12
 	// minOwnReadDelay is the shortest time between two own reads of one follower that failed.
 	minOwnReadDelay = 250 * time.Millisecond
@@ -15,12 +17,13 @@
 // have failed since its configuration was last fresh.
 //
 // It answers a store that serves nobody: all followers lose their freshness at the same moment, and without turns a fleet of 300
-// instances would make several hundred calls a second for as long as the store is away, and at its return. The store may also
+// instances would make several hundred calls a second for as long as the store is away, and at its return. With them it makes these
+// calls once, within a second. The store may also
 // refuse the readers only. Followers therefore do read it, one after the other, and the first that is served passes the
 // configuration on.
 func OwnReadDelay(position, followers, failures int) time.Duration {
 	if failures == 0 {
-		return time.Duration(position) * ownReadInterval
+		return time.Duration(position) * min(ownReadInterval, firstReadSpan/time.Duration(max(followers, 1)))
 	}
 	return max(time.Duration(followers)*ownReadInterval, minOwnReadDelay)
 }
--- a/core/cover/ownread_test.go
+++ b/core/cover/ownread_test.go
@@ -32,3 +32,15 @@
 	const changeLimit = 3 * time.Second
 	require.Less(t, cover.MaxAge+cover.OwnReadDelay(9, 10, 0), changeLimit-200*time.Millisecond)
 }
+
+// TestLastFollowerReadsTheStoreBeforeTheLimitOfChanges has data centres of up to a hundred instances, whose fleets allow 5 s for a change:
+// the copy counts as fresh for MaxAge, then the follower waits for its turn, and its read may take as long as a slow store needs.
+func TestLastFollowerReadsTheStoreBeforeTheLimitOfChanges(t *testing.T) {
+	const (
+		changeLimit = 5 * time.Second
+		slowRead    = 800 * time.Millisecond
+	)
+	for followers := 1; followers <= 100; followers++ {
+		require.Less(t, cover.MaxAge+cover.OwnReadDelay(followers-1, followers, 0)+slowRead, changeLimit, "%d followers", followers)
+	}
+}
