fix: an outdated configuration does not deny a route

What callers would see: NODB for a route that was added and confirmed, from an instance whose configuration is old (CONFIG).

Cause: that a name is unknown was taken for known also when the configuration may lack changes.

Fix: from an age of 3 s on, the shortest time within which a change must be in force, an unknown name is refused with BUSY, a promise that nothing ran, and a time to come back. Known routes are served as before: while the store is away nothing new can be confirmed.

Test: TestAddedRouteIsNotDeniedByAnOutdatedConfiguration, red before (NODB).

--- a/io/front/identity_test.go
+++ b/io/front/identity_test.go
@@ -26,11 +26,13 @@
 	table *routes.CurrentTable
 	owner *owner
 	// proved says whether the proof holds; onProof is called before each answer.
-	proved  atomic.Bool
-	onProof atomic.Pointer[func()]
-	address string
-	log     *bytes.Buffer
-	stop    func()
+	proved atomic.Bool
+	// outdated says whether the configuration may lack changes.
+	outdated atomic.Bool
+	onProof  atomic.Pointer[func()]
+	address  string
+	log      *bytes.Buffer
+	stop     func()
 }
 
 // configure puts a version into force in which each account holds the keys.
@@ -62,6 +64,7 @@
 		Logger:        hclog.New(&hclog.LoggerOptions{Output: s.log, Mutex: &sync.Mutex{}}),
 		NewCallerConn: func(c net.Conn) front.CallerConn { return platform.NewCallerConn(c) },
 		KeysProved:    func() bool { (*s.onProof.Load())(); return s.proved.Load() },
+		Outdated:      s.outdated.Load,
 	})
 	s.stop = sync.OnceFunc(func() { s.Stop(time.Millisecond) })
 	t.Cleanup(s.stop)
@@ -278,3 +281,14 @@
 
 // codeAfterIdle is the code for a commit of a transaction that was rolled back because its caller was idle.
 const codeAfterIdle = "ABORTED"
+
+// TestAddedRouteIsNotDeniedByAnOutdatedConfiguration asks for a route that the configuration here lacks because it is old.
+func TestAddedRouteIsNotDeniedByAnOutdatedConfiguration(t *testing.T) {
+	s := newKeyedServer(t)
+	_, answer := s.open(t, "STARTUP added key-a")
+	require.True(t, strings.HasPrefix(answer, "ERROR NODB "), answer)
+	s.outdated.Store(true)
+	_, answer = s.open(t, "STARTUP added key-a")
+	require.True(t, strings.HasPrefix(answer, "ERROR BUSY "), answer)
+	s.session(t, "STARTUP open key-a")
+}
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -53,6 +53,8 @@
 	Usage *usage.Table
 	// KeysProved reports whether it is proved that no key in force here was withdrawn too long ago; nil needs no proof.
 	KeysProved func() bool
+	// Outdated reports whether the configuration in force may lack changes that were confirmed a while ago; nil means never.
+	Outdated func() bool
 }
 
 // Counters count the open sessions, the replies, the malformed messages and the messages that ended in the middle.
@@ -189,6 +191,9 @@
 		return "", stmt.Overloaded, "the configuration is not loaded yet; come back in a second"
 	}
 	route, known := table.Routes[name]
+	if !known && s.isOutdated() {
+		return "", stmt.Overloaded, textOutdated
+	}
 	if !known {
 		if table.Accounts != nil {
 			// A caller that exchanged the two words of its startup message gave its key as the name.
@@ -199,6 +204,11 @@
 	return identify(table, proved, route, key)
 }
 
+// textOutdated refuses a name that is unknown here, but may be known by now.
+const textOutdated = "the configuration here may lack a recent change; come back in a second"
+
+func (s *Server) isOutdated() bool { return s.settings.Outdated != nil && s.settings.Outdated() }
+
 // recordReply counts and measures a reply, and logs it if it is an error. The metrics have one series per route.
 func (s *Server) recordReply(name routes.Name, account types.AccountID, id string, r stmt.Reply, elapsed time.Duration) {
 	class := meter.Served
--- a/io/front/session.go
+++ b/io/front/session.go
@@ -263,6 +263,9 @@
 		return s.fail(stmt.Overloaded, "the configuration is not loaded yet; come back in a second"), false
 	}
 	route, known := table.Routes[s.routeName]
+	if !known && s.server.isOutdated() {
+		return s.fail(stmt.Overloaded, textOutdated), false
+	}
 	if !known {
 		return s.fail(stmt.UnknownDatabase, "no route has the name "+string(s.routeName)), false
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -86,7 +86,7 @@
 	n.transport = peers.NewTransport(s.Peers, n.serveChannel)
 	n.callers = front.New(front.Settings{
 		Listener: s.Callers, NewCallerConn: s.NewCallerConn, Routes: n.routes, Router: &router{node: n}, Logger: s.RequestLogger,
-		Budget: n.budget, Meter: s.Meter, Usage: n.usage, KeysProved: n.storeSync.proof.Holds,
+		Budget: n.budget, Meter: s.Meter, Usage: n.usage, KeysProved: n.storeSync.proof.Holds, Outdated: n.storeSync.isOutdated,
 	})
 	n.serveReady()
 	n.serveMetrics()
--- a/io/node/selfwatch.go
+++ b/io/node/selfwatch.go
@@ -19,9 +19,6 @@
 	lateTimer = pingTimeout / 5
 	// lateReportInterval is the shortest time between two log lines about late timers.
 	lateReportInterval = time.Second
-	// staleConfiguration is the age of the configuration from which it is reported: an instance whose store readers do not answer has
-	// read the store itself by then.
-	staleConfiguration = 3 * time.Second
 )
 
 // gcMetric is the processor time that the garbage collector has used.
@@ -100,7 +97,7 @@
 	if !known {
 		return
 	}
-	if age < staleConfiguration {
+	if age < outdatedAge {
 		if w.stale {
 			n.logger.Info("configuration fresh again", "version", n.configurationVersion(), "worstAge", w.worstAge.Round(time.Millisecond).String())
 		}
--- a/io/node/storesync.go
+++ b/io/node/storesync.go
@@ -70,6 +70,16 @@
 	}
 }
 
+// outdatedAge is the age from which the configuration counts as outdated: an instance whose store readers do not answer has read the store
+// itself by then. It is the shortest time within which a change must be in force.
+const outdatedAge = 3 * time.Second
+
+// isOutdated reports whether the configuration may lack a change that was confirmed longer than outdatedAge ago.
+func (s *storeSync) isOutdated() bool {
+	age, known := s.freshness.Age()
+	return !known || age > outdatedAge
+}
+
 // newBackoff returns the delays after consecutive failed calls.
 func newBackoff() *pause.Backoff { return &pause.Backoff{Min: minRetryDelay, Max: maxRetryDelay} }
 
