--- a/io/node/handover_test.go
+++ b/io/node/handover_test.go
@@ -146,6 +146,14 @@
 
 // startInstanceWithGrace is startInstanceWithDelay with another grace period of a planned stop.
 func startInstanceWithGrace(tb testing.TB, site *fakepl.Platform, name string, delay, grace time.Duration) *testInstance {
+	tb.Helper()
+	return startInstanceOfSize(tb, site, name, delay, grace, 0)
+}
+
+// startInstanceOfSize is startInstanceWithGrace with the processor time that the instance may use.
+func startInstanceOfSize(
+	tb testing.TB, site *fakepl.Platform, name string, delay, grace time.Duration, processor types.Millicores,
+) *testInstance {
 	tb.Helper()
 	r := &testInstance{id: types.InstanceID(name)}
 	callers, peers, ready := listen(tb), listen(tb), listen(tb)
@@ -162,7 +170,7 @@
 	r.Node = node.New(node.Settings{
 		Self: fleet.Instance{
 			ID: r.id, PeerAddress: peers.Addr().String(), DataCentre: "z1", State: fleet.Live,
-			Incarnation: fleet.Incarnation(time.Now().UnixNano()),
+			Incarnation: fleet.Incarnation(time.Now().UnixNano()), Processor: processor,
 		},
 		Callers: callers, Peers: r.peers, HTTP: ready,
 		NewCallerConn: func(c net.Conn) front.CallerConn { return platform.NewCallerConn(c) },
