fix: a handover asks machines that did not answer lately last

What callers would see: the databases of a stopped instance without an owner until its process has ended, when the first two candidates are gone. Their entries stay in the store, each offer to them takes 0.5 s of the second that an attempt has, and the next attempt asked them again. Ranking by size makes this likelier: a data centre has two large machines instead of forty that are alike.

Fix: an offer without an answer is recorded like a statement without one, and such instances are asked last for 2 s.

--- a/io/node/handover.go
+++ b/io/node/handover.go
@@ -104,7 +104,7 @@
 func (m *ownershipManager) handOverToFirst(ctx context.Context, owned *ownership, candidates []fleet.Instance) bool {
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
-	for _, instance := range candidates {
+	for _, instance := range m.node.unresponsive.putLast(candidates) {
 		if instance.ID != m.node.settings.Self.ID && m.handOverTo(ctx, owned, instance) {
 			return true
 		}
@@ -153,6 +153,9 @@
 	reply, err := n.call(ctx, to.PeerAddress, &wire.Call{Kind: &wire.Call_Offer{Offer: &wire.Offer{
 		Database: string(database), Named: named,
 	}}})
+	if err != nil {
+		n.unresponsive.record(to.ID)
+	}
 	return err == nil && reply.GetOffered().GetAble()
 }
 
--- a/io/node/unresponsive.go
+++ b/io/node/unresponsive.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"turmericpulley/core/fleet"
 	"turmericpulley/core/types"
 )
 
@@ -25,6 +26,21 @@
 	u.last[id] = time.Now()
 }
 
+// putLast returns the instances with those that were recorded recently after all others. Entries of machines that are gone stay in the
+// store, and a handover has no time to wait for each of them again.
+func (u *unresponsive) putLast(instances []fleet.Instance) []fleet.Instance {
+	sorted := make([]fleet.Instance, 0, len(instances))
+	var last []fleet.Instance
+	for _, i := range instances {
+		if u.recently(i.ID) {
+			last = append(last, i)
+		} else {
+			sorted = append(sorted, i)
+		}
+	}
+	return append(sorted, last...)
+}
+
 // clear forgets all recorded instances. It is called when an instance answers that it is not the owner. A standby that is not
 // acting answers so, and the owner must then be tried first again.
 func (u *unresponsive) clear() {
