fix: owners of machines that are alike stay where they are

Fix: an owner moves closer to the primary, or to a machine of a higher processor class; the load decides which one and whether it pays. Test: TestOwnersOfOneSizeStayWhereTheyAre, now with an owner of three databases beside idle equals.

--- a/core/fleet/placement.go
+++ b/core/fleet/placement.go
@@ -24,14 +24,18 @@
 	Owned     map[types.InstanceID]int
 }
 
-// Successors returns the instances to which the owner should hand the database over, the best first; none when it should keep it. A machine
-// of a lower processor class than the owner's gets no database from it, wherever the primary is.
+// Successors returns the instances to which the owner should hand the database over, the best first; none when it should keep it. It
+// moves closer to the primary or to a machine of a higher processor class, and never to one of a lower class.
 func (p Placement) Successors(owner Instance, database types.DatabaseID, primary types.DataCentre) []Instance {
 	current := p.load(owner, 0)
 	return slices.DeleteFunc(p.Candidates(database, primary), func(i Instance) bool {
 		if i.ID == owner.ID || processorClass(i) < processorClass(owner) {
 			return true
 		}
+		isCloser := i.DataCentre == primary && owner.DataCentre != primary
+		if !isCloser && !i.IsLarger(owner) {
+			return true
+		}
 		return current < p.load(i, 1)*gainNeeded(owner.DataCentre == primary, i.DataCentre == primary)
 	})
 }
--- a/core/fleet/placement_test.go
+++ b/core/fleet/placement_test.go
@@ -116,7 +116,7 @@
 }
 
 func TestOwnersOfOneSizeStayWhereTheyAre(t *testing.T) {
-	placement := fleet.Placement{Owned: map[types.InstanceID]int{"n0": 1, "n1": 1, "n2": 1}}
+	placement := fleet.Placement{Owned: map[types.InstanceID]int{"n0": 3, "n1": 1, "n2": 1}}
 	for k := range 9 {
 		placement.Instances = append(placement.Instances, fleet.Instance{
 			ID: types.InstanceID(fmt.Sprintf("n%d", k)), DataCentre: types.DataCentre(fmt.Sprintf("z%d", k%3)), State: fleet.Live, Processor: 400,
