fix: a store reader that the store refuses asks the other store readers

What callers saw: where most instances are refused by the store, those at a store reader that is refused too were turned away with BUSY for more than 6 s, as it could not prove their keys, and its configuration was stale for 3 s and more.

Cause: followers hear of changes from a store reader that is served. A reader follows nobody and depends on calls that others relay. It asks two at random, 2 of 9 are served, so that it misses both in 58 of 100 tries, and after each miss it does not relay for 1.2 s.

Fix: a store reader whose own calls fail follows the other readers as a follower does, beside its own calls.

--- a/io/node/identity_test.go
+++ b/io/node/identity_test.go
@@ -131,6 +131,11 @@
 				i.refused.Store(true)
 			}
 		}, true},
+		{"the store refuses all but one store reader", func(_ *fakepl.Platform, readers, all []*testInstance) {
+			for _, i := range all {
+				i.refused.Store(i != readers[1])
+			}
+		}, true},
 		{"the store is silent for all", func(_ *fakepl.Platform, _, all []*testInstance) { disconnectAllBut(all, 0) }, false},
 		{"a store reader hears nothing from the others", func(_ *fakepl.Platform, readers, _ []*testInstance) {
 			readers[0].peers.silent.Store(true)
--- a/io/node/readers.go
+++ b/io/node/readers.go
@@ -57,6 +57,20 @@
 	return n.directory.readers()
 }
 
+// readersToAsk returns the store readers that this instance asks for changes. A store reader that the store does not serve asks the others:
+// a relayed call finds one of them by chance only, and not for long seconds when the store refuses most of the fleet.
+func (s *storeSync) readersToAsk() []fleet.Instance {
+	n := s.node
+	if !n.isStoreReader() {
+		return n.followedReaders()
+	}
+	if s.ownServed.isWithin(servedPeriod, n.settings.Clock.Now()) {
+		return nil
+	}
+	others := slices.Clone(n.directory.readers())
+	return slices.DeleteFunc(others, func(i fleet.Instance) bool { return i.ID == n.settings.Self.ID })
+}
+
 // isStoreReader reports whether this instance is a store reader.
 func (n *Node) isStoreReader() bool {
 	return slices.ContainsFunc(n.directory.readers(), func(i fleet.Instance) bool { return i.ID == n.settings.Self.ID })
@@ -119,10 +133,10 @@
 	}
 }
 
-// followReaders asks the store readers of the data centre for changes. It stays with one reader as long as that one answers.
+// followReaders asks store readers of the data centre for changes. It stays with one reader as long as that one answers.
 func (s *storeSync) followReaders(ctx context.Context) {
 	for turn := 0; ctx.Err() == nil; turn++ {
-		readers := s.node.followedReaders()
+		readers := s.readersToAsk()
 		if len(readers) == 0 || s.fleetRevision.Load() == 0 {
 			pause.For(ctx, readersInterval)
 			continue
@@ -143,7 +157,7 @@
 	}
 	defer channel.Close()
 	defer context.AfterFunc(ctx, channel.Close)()
-	for ctx.Err() == nil && s.fleetRevision.Load() != 0 && slices.Contains(n.followedReaders(), reader) {
+	for ctx.Err() == nil && s.fleetRevision.Load() != 0 && slices.Contains(s.readersToAsk(), reader) {
 		if !s.followOnce(ctx, channel, reader) {
 			return
 		}
