--- a/core/cover/ownread.go
+++ b/core/cover/ownread.go
@@ -18,9 +18,8 @@
 //
 // It answers a store that serves nobody: all followers lose their freshness at the same moment, and without turns a fleet of 300
 // instances would make several hundred calls a second for as long as the store is away, and at its return. With them it makes these
-// calls once, within a second. The store may also
-// refuse the readers only. Followers therefore do read it, one after the other, and the first that is served passes the
-// configuration on.
+// calls once, within a second. The store may also refuse the readers only. Followers therefore do read it, one after the other, and the first
+// that is served passes the configuration on.
 func OwnReadDelay(position, followers, failures int) time.Duration {
 	if failures == 0 {
 		return time.Duration(position) * min(ownReadInterval, firstReadSpan/time.Duration(max(followers, 1)))
--- a/io/node/readers.go
+++ b/io/node/readers.go
@@ -58,7 +58,7 @@
 }
 
 // readersToAsk returns the store readers that this instance asks for changes. A store reader that the store does not serve asks the others:
-// a relayed call finds one of them by chance only, and not for long seconds when the store refuses most of the fleet.
+// relayed calls go to instances chosen at random, and fail for seconds when the store refuses most of them.
 func (s *storeSync) readersToAsk() []fleet.Instance {
 	n := s.node
 	if !n.isStoreReader() {
