core/fleet: store readers are the machines with the most processor time

A data centre had a confirmed change late when one of its smallest machines was its store reader: the copy of every follower is as late as that of its reader. Readers are ranked by processor class first, as owners are.

--- a/core/fleet/membership.go
+++ b/core/fleet/membership.go
@@ -59,4 +59,14 @@
 	return slices.DeleteFunc(m.Live(), func(i Instance) bool { return i.DataCentre != dataCentre })
 }
 
+// DataCentres returns the data centres that have instances, sorted.
+func (m Membership) DataCentres() []types.DataCentre {
+	dataCentres := make([]types.DataCentre, 0, len(m.Instances))
+	for _, i := range m.Instances {
+		dataCentres = append(dataCentres, i.DataCentre)
+	}
+	slices.Sort(dataCentres)
+	return slices.Compact(dataCentres)
+}
+
 func compareIDs(a, b Instance) int { return cmp.Compare(a.ID, b.ID) }
--- a/core/fleet/membership_test.go
+++ b/core/fleet/membership_test.go
@@ -153,6 +153,27 @@
 	})
 }
 
+// TestStoreReadersAreMachinesWithTheMostProcessorTime guards against data centres whose changes wait for one of their smallest machines.
+func TestStoreReadersAreMachinesWithTheMostProcessorTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := membershipOf(rapid.IntRange(40, 60).Draw(t, "size"))
+		large := map[types.InstanceID]bool{}
+		local := members.LiveIn("dc-1")
+		for len(large) < 2 {
+			large[local[rapid.IntRange(0, len(local)-1).Draw(t, "large")].ID] = true
+		}
+		for i := range members.Instances {
+			members.Instances[i].Processor = 134
+			if large[members.Instances[i].ID] {
+				members.Instances[i].Processor = 800
+			}
+		}
+		for _, r := range members.StoreReaders("dc-1") {
+			require.Contains(t, large, r.ID)
+		}
+	})
+}
+
 func TestStoreReadersStayWhenAnotherInstanceLeaves(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		size := rapid.IntRange(1, 60).Draw(t, "size")
--- a/core/fleet/owner.go
+++ b/core/fleet/owner.go
@@ -20,7 +20,7 @@
 	if len(nearby) == 0 {
 		nearby = m.Live()
 	}
-	return rankOwners(string(database.Database), nearby)
+	return rankByProcessor(string(database.Database), nearby)
 }
 
 func hasMemberIn(database policy.Database, dataCentre types.DataCentre) bool {
--- a/core/fleet/placement.go
+++ b/core/fleet/placement.go
@@ -58,7 +58,7 @@
 // Candidates returns the live instances in the order in which they should get the database: by the load that they would then have, where
 // one in another data centre than the primary's counts distanceFactor times.
 func (p Placement) Candidates(database types.DatabaseID, primary types.DataCentre) []Instance {
-	ranked := rankOwners(string(database), Membership{Instances: p.Instances}.Live())
+	ranked := rankByProcessor(string(database), Membership{Instances: p.Instances}.Live())
 	cost := func(i Instance) float64 {
 		if primary != "" && i.DataCentre != primary {
 			return p.load(i, 1) * distanceFactor
--- a/core/fleet/score.go
+++ b/core/fleet/score.go
@@ -39,9 +39,9 @@
 	) < 0
 }
 
-// rankOwners returns the instances in the order in which they should own the database.
-func rankOwners(database string, instances []Instance) []Instance {
-	ranked := rank(database, instances)
+// rankByProcessor returns the instances in the order in which they should do the work of the key: the highest processor class first.
+func rankByProcessor(key string, instances []Instance) []Instance {
+	ranked := rank(key, instances)
 	slices.SortStableFunc(ranked, func(a, b Instance) int { return cmp.Compare(processorClass(b), processorClass(a)) })
 	return ranked
 }
--- a/core/fleet/storereaders.go
+++ b/core/fleet/storereaders.go
@@ -21,5 +21,6 @@
 	if len(live) < minInstancesForStoreReaders {
 		return nil
 	}
-	return rank(storeReadersKey, live)[:storeReadersPerDataCentre]
+	// The copy of every follower is as late as that of its reader, so the machines with the most processor time come first.
+	return rankByProcessor(storeReadersKey, live)[:storeReadersPerDataCentre]
 }
