io/store: a call is given up for silence, not for the size of its answer

The limit now holds for the begin of a response and for each further part of it (sock.Silence); 30 s bound the whole.

TestLongResponseOverASlowLinkIsReadToItsEnd failed before.

--- a/io/store/call.go
+++ b/io/store/call.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"turmericpulley/core/fault"
+	"turmericpulley/io/sock"
 )
 
 const (
@@ -21,6 +22,8 @@
 	maxResponseBytes = 2 << 20
 	// maxListBytes bounds the body of a response that lists many values.
 	maxListBytes = 32 << 20
+	// answerTimeout bounds a whole response. A list of 10,000 contracts takes a few seconds over 10 Mbit/s.
+	answerTimeout = 30 * time.Second
 )
 
 // storeCall is one request to the platform.
@@ -40,8 +43,10 @@
 
 // do sends the call and reads the whole response. A fault that it returns says whether the call may have taken effect.
 func (c *Client) do(ctx context.Context, call storeCall) (platformResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout+call.wait)
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout+call.wait)
 	defer cancel()
+	ctx, silence := sock.NewSilence(ctx, c.timeout+call.wait, c.timeout)
+	defer silence.Stop()
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	request, err := http.NewRequestWithContext(
@@ -49,20 +54,20 @@
 	if err != nil {
 		return platformResponse{}, errors.Wrap(err, "preparing a call to the platform")
 	}
-	response, err := c.roundTrip(request, call.responseLimit)
+	response, err := c.roundTrip(request, silence, call.responseLimit)
 	if err != nil {
 		return platformResponse{}, c.unavailable(call, err, connected.Load())
 	}
 	return response, nil
 }
 
-func (c *Client) roundTrip(request *http.Request, limit int64) (platformResponse, error) {
+func (c *Client) roundTrip(request *http.Request, silence *sock.Silence, limit int64) (platformResponse, error) {
 	response, err := c.http.Do(request)
 	if err != nil {
 		return platformResponse{}, errors.WithStack(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	body, err := io.ReadAll(io.LimitReader(silence.Begun(response.Body), limit+1))
 	if err != nil {
 		return platformResponse{}, errors.Wrap(err, "reading the response")
 	}
--- a/io/store/store_test.go
+++ b/io/store/store_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -205,3 +206,28 @@
 	require.NoError(t, err)
 	require.Equal(t, types.Revision(5), page.Revision)
 }
+
+// TestLongResponseOverASlowLinkIsReadToItsEnd guards against lists that an instance begins to read again and again because they take longer
+// than a platform that is silent may. One that stops in the middle of a response is given up.
+func TestLongResponseOverASlowLinkIsReadToItsEnd(t *testing.T) {
+	body := `{"revision":5,"entries":[]` + strings.Repeat(" ", 1<<10) + "}"
+	const parts = 8
+	stops := atomic.Bool{}
+	client := newClient(t, func(w http.ResponseWriter, r *http.Request) {
+		for part := range slices.Chunk([]byte(body), len(body)/parts) {
+			_, _ = w.Write(part)
+			_ = http.NewResponseController(w).Flush()
+			if stops.Load() {
+				<-r.Context().Done()
+				return
+			}
+			time.Sleep(testTimeout / 3)
+		}
+	})
+	page, err := client.List(context.Background(), "k/", 5, 0)
+	require.NoError(t, err)
+	require.Equal(t, types.Revision(5), page.Revision)
+	stops.Store(true)
+	_, err = client.List(context.Background(), "k/", 5, 0)
+	requireFault(t, err, fault.StoreUnavailable, fault.NotRun)
+}
