--- a/io/node/lending.go
+++ b/io/node/lending.go
@@ -65,8 +65,7 @@
 // ask sends a batch to the first lender that answers.
 func (b *borrower) ask(ctx context.Context) {
 	l := b.limits
-	lenders := l.lenders()
-	for _, lender := range lenders[:min(len(lenders), maxLenders)] {
+	for _, lender := range l.lenders() {
 		if b.askLender(ctx, lender) {
 			return
 		}
--- a/io/node/limits.go
+++ b/io/node/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"turmericpulley/core/acct"
 	"turmericpulley/core/clock"
 	"turmericpulley/core/quota"
+	"turmericpulley/core/routes"
 	"turmericpulley/core/types"
 	"turmericpulley/io/logs"
 )
@@ -34,6 +36,9 @@
 	mu sync.Mutex
 	// failed are the lenders that gave no answer, with the moment.
 	failed map[types.InstanceID]clock.Moment
+	// sortedDatabases are the databases of the configuration sortedOf.
+	sortedOf        *routes.Table
+	sortedDatabases []types.DatabaseID
 }
 
 func newLimits(n *Node) *limits {
@@ -50,20 +55,14 @@
 	return table.Accounts, len(table.Databases)
 }
 
-// lenders returns the instances to ask, the first one first: the owners of the databases in the order of their ids. All owners of a fleet
-// that know the same owners ask the same one.
+// lenders returns the instances to ask, at most maxLenders, the first one first: the owners of the databases in the order of their ids. All
+// owners of a fleet that know the same owners ask the same one.
 func (l *limits) lenders() []types.InstanceID {
-	table := l.node.routes.Table()
-	databases := make([]types.DatabaseID, 0, len(table.Databases))
-	for id := range table.Databases {
-		databases = append(databases, id)
-	}
-	slices.Sort(databases)
 	now := l.node.settings.Clock.Now()
-	var lenders []types.InstanceID
+	lenders := make([]types.InstanceID, 0, maxLenders)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, id := range databases {
+	for _, id := range l.sortDatabases(l.node.routes.Table()) {
 		record, known := l.node.directory.owner(id)
 		if !known || slices.Contains(lenders, record.Instance) {
 			continue
@@ -74,11 +73,21 @@
 			}
 			delete(l.failed, record.Instance)
 		}
-		lenders = append(lenders, record.Instance)
+		if lenders = append(lenders, record.Instance); len(lenders) == maxLenders {
+			break
+		}
 	}
 	return lenders
 }
 
+// sortDatabases returns the ids of the configuration's databases in order; it sorts them only after a change. The caller holds the lock.
+func (l *limits) sortDatabases(table *routes.Table) []types.DatabaseID {
+	if l.sortedOf != table {
+		l.sortedOf, l.sortedDatabases = table, slices.Sorted(maps.Keys(table.Databases))
+	}
+	return l.sortedDatabases
+}
+
 // recordFailed records that the lender gave no answer.
 func (l *limits) recordFailed(lender types.InstanceID) {
 	l.mu.Lock()
