platform: a store call is given up for silence, not for the size of its answer

CONFIG at Cyp: only the largest machines ever had a large configuration. The limit of a call to the store, 0.8 s, held for the transfer of the whole answer. A small machine gave every read of a configuration of 5,000 routes up ("begun after 126ms, 475060 of 1087680 bytes 675ms later"), began it anew, and filled its link and the store's again; the operator's write waited behind them.

The limit holds for the begin of an answer and for each further part (sock.Silence), as in io/store. Calls that are given up say after how long the answer began and how much of it had come, and metrics count the store's answers by kind; that told this cause from the others.

TestLargeAnswerOverASlowLinkIsReadToItsEnd failed before.

--- a/cmd/instance.go
+++ b/cmd/instance.go
@@ -139,6 +139,15 @@
 	}, meter.CounterFunc{
 		Name: "store_calls_relayed", Description: "Calls to the platform's store that another instance was asked to make.",
 		Read: calls.Relayed.Load,
+	}, meter.CounterFunc{
+		Name: "store_configuration_bytes", Description: "Bytes that the store has answered to reads and watches of the configuration.",
+		Read: calls.ConfigurationBytes.Load,
+	}, meter.CounterFunc{
+		Name: "store_member_bytes", Description: "Bytes that the store has answered to reads of the members' entries.",
+		Read: calls.MemberBytes.Load,
+	}, meter.CounterFunc{
+		Name: "store_fleet_bytes", Description: "Bytes that the store has answered to reads and watches of the instances and owner records.",
+		Read: calls.FleetBytes.Load,
 	})
 	direct := platform.NewDirectCaller(s.Store)
 	return node.New(node.Settings{
--- a/io/node/peercalls.go
+++ b/io/node/peercalls.go
@@ -148,7 +148,7 @@
 
 // Call asks one instance, and the next one after relayHedgeDelay or an unusable answer. It does not ask all at once, since each
 // call to the store has a cost. It returns the first usable answer.
-func (r *relay) Call(ctx context.Context, method, path string, body []byte) (StoreAnswer, error) {
+func (r *relay) Call(ctx context.Context, call StoreCall) (StoreAnswer, error) {
 	n := r.node
 	addresses := n.relayAddresses()
 	answers := make(chan relayResult, len(addresses))
@@ -162,7 +162,7 @@
 			if asked < len(addresses) {
 				address := addresses[asked]
 				asked++
-				n.goroutines.Go(func() { answers <- n.callThrough(ctx, address, method, path, body) })
+				n.goroutines.Go(func() { answers <- n.callThrough(ctx, address, call) })
 				hedge.Reset(relayHedgeDelay)
 			}
 		case result := <-answers:
@@ -181,9 +181,9 @@
 }
 
 // callThrough asks the instance at the address to call the store.
-func (n *Node) callThrough(ctx context.Context, address, method, path string, body []byte) relayResult {
+func (n *Node) callThrough(ctx context.Context, address string, call StoreCall) relayResult {
 	reply, err := n.call(ctx, address, &wire.Call{Kind: &wire.Call_StoreCall{StoreCall: &wire.StoreCall{
-		Method: method, Path: path, Body: body,
+		Method: call.Method, Path: call.Path, Body: call.Body,
 	}}})
 	storeReply := reply.GetStoreReply()
 	return relayResult{address, StoreAnswer{int(storeReply.GetStatus()), types.Era(storeReply.GetEra()), storeReply.GetBody()}, err}
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -97,9 +97,19 @@
 	LimitPeriod time.Duration
 }
 
-// StoreCaller makes a call to the store, directly or through another instance.
+// StoreCall is one call to the store.
+type StoreCall struct {
+	// Method and Path are those of the HTTP request, Body is its body.
+	Method, Path string
+	Body         []byte
+	// Wait is how long the store may hold the call before it answers.
+	Wait time.Duration
+}
+
+// StoreCaller makes a call to the store, directly or through another instance. It gives up a store that does not begin to answer or stops
+// in the middle of an answer, but no answer that keeps arriving: how long that takes depends on its size and the link.
 type StoreCaller interface {
-	Call(ctx context.Context, method, path string, body []byte) (StoreAnswer, error)
+	Call(ctx context.Context, call StoreCall) (StoreAnswer, error)
 }
 
 // StoreAnswer is the answer of the store to one call: its HTTP status and body, and the era of the store.
