--- a/io/front/identity_test.go
+++ b/io/front/identity_test.go
@@ -29,10 +29,12 @@
 	proved atomic.Bool
 	// outdated says whether the configuration may lack changes.
 	outdated atomic.Bool
-	onProof  atomic.Pointer[func()]
-	address  string
-	log      *bytes.Buffer
-	stop     func()
+	// superseded says whether a newer configuration has been known for a while.
+	superseded atomic.Bool
+	onProof    atomic.Pointer[func()]
+	address    string
+	log        *bytes.Buffer
+	stop       func()
 }
 
 // configure puts a version into force in which each account holds the keys.
@@ -65,6 +67,7 @@
 		NewCallerConn: func(c net.Conn) front.CallerConn { return platform.NewCallerConn(c) },
 		KeysProved:    func() bool { (*s.onProof.Load())(); return s.proved.Load() },
 		Outdated:      s.outdated.Load,
+		Superseded:    s.superseded.Load,
 	})
 	s.stop = sync.OnceFunc(func() { s.Stop(time.Millisecond) })
 	t.Cleanup(s.stop)
@@ -292,3 +295,16 @@
 	require.True(t, strings.HasPrefix(answer, "ERROR BUSY "), answer)
 	s.session(t, "STARTUP open key-a")
 }
+
+// TestRouteIsNotServedByASupersededConfiguration guards against callers that are served by a route that a newer configuration, known to the
+// instance, has dropped.
+func TestRouteIsNotServedByASupersededConfiguration(t *testing.T) {
+	s := newKeyedServer(t)
+	earlier := s.session(t, "STARTUP r1 key-a")
+	s.superseded.Store(true)
+	_, answer := s.open(t, "STARTUP r1 key-a")
+	require.True(t, strings.HasPrefix(answer, "ERROR BUSY "), answer)
+	require.Contains(t, earlier.query("READ 1"), "ERROR BUSY ", "a session that was open before")
+	s.superseded.Store(false)
+	s.session(t, "STARTUP r1 key-a")
+}
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -55,6 +55,9 @@
 	KeysProved func() bool
 	// Outdated reports whether the configuration in force may lack changes that were confirmed a while ago; nil means never.
 	Outdated func() bool
+	// Superseded reports whether other instances have had a newer configuration for a while that has not arrived here; nil means never.
+	// What the one in force allows may be forbidden by now, so nothing new is served meanwhile.
+	Superseded func() bool
 }
 
 // Counters count the open sessions, the replies, the malformed messages and the messages that ended in the middle.
@@ -191,7 +194,7 @@
 		return "", stmt.Overloaded, "the configuration is not loaded yet; come back in a second"
 	}
 	route, known := table.Routes[name]
-	if !known && s.isOutdated() {
+	if s.mayLackChange(known) {
 		return "", stmt.Overloaded, textOutdated
 	}
 	if !known {
@@ -204,10 +207,16 @@
 	return identify(table, proved, route, key)
 }
 
-// textOutdated refuses a name that is unknown here, but may be known by now.
+// textOutdated refuses what a newer configuration may decide otherwise.
 const textOutdated = "the configuration here may lack a recent change; come back in a second"
 
-func (s *Server) isOutdated() bool { return s.settings.Outdated != nil && s.settings.Outdated() }
+// mayLackChange reports whether a route, which the configuration in force knows or does not know, must not be decided by it.
+func (s *Server) mayLackChange(known bool) bool {
+	if s.settings.Superseded != nil && s.settings.Superseded() {
+		return true
+	}
+	return !known && s.settings.Outdated != nil && s.settings.Outdated()
+}
 
 // recordReply counts and measures a reply, and logs it if it is an error. The metrics have one series per route.
 func (s *Server) recordReply(name routes.Name, account types.AccountID, id string, r stmt.Reply, elapsed time.Duration) {
--- a/io/front/session.go
+++ b/io/front/session.go
@@ -263,7 +263,7 @@
 		return s.fail(stmt.Overloaded, "the configuration is not loaded yet; come back in a second"), false
 	}
 	route, known := table.Routes[s.routeName]
-	if !known && s.server.isOutdated() {
+	if s.server.mayLackChange(known) {
 		return s.fail(stmt.Overloaded, textOutdated), false
 	}
 	if !known {
--- a/io/node/codec.go
+++ b/io/node/codec.go
@@ -49,3 +49,22 @@
 	}
 	return request
 }
+
+// encodeItems returns values of the store as they are sent to another instance.
+func encodeItems(items []Item) []*wire.StoreItem {
+	encoded := make([]*wire.StoreItem, 0, len(items))
+	for _, item := range items {
+		encoded = append(encoded, &wire.StoreItem{Key: item.Key, Value: item.Value, Revision: uint64(item.Revision), Deleted: item.Deleted})
+	}
+	return encoded
+}
+
+func decodeItems(encoded []*wire.StoreItem) []Item {
+	items := make([]Item, 0, len(encoded))
+	for _, item := range encoded {
+		items = append(items, Item{
+			Key: item.GetKey(), Value: item.GetValue(), Revision: types.Revision(item.GetRevision()), Deleted: item.GetDeleted(),
+		})
+	}
+	return items
+}
--- a/io/node/detector.go
+++ b/io/node/detector.go
@@ -166,7 +166,7 @@
 	entry.incarnation = max(entry.incarnation, incarnation)
 	d.mu.Unlock()
 	if newer {
-		d.node.directory.wake()
+		d.node.directory.unsettle()
 	}
 	return err
 }
@@ -180,7 +180,7 @@
 	if changed {
 		d.node.logger.Info("owner status changed", "owner", id, "dead", dead, "asked", check.Asked, "reached", check.Reached,
 			"notReached", check.NotReached, "refused", check.Refused)
-		d.node.directory.wake()
+		d.node.directory.unsettle()
 	}
 }
 
--- a/io/node/directory.go
+++ b/io/node/directory.go
@@ -7,6 +7,7 @@
 
 	"turmericpulley/core/fleet"
 	"turmericpulley/core/policy"
+	"turmericpulley/core/routes"
 	"turmericpulley/core/types"
 )
 
@@ -29,17 +30,30 @@
 	droppedRevision types.Revision
 	owners          map[types.DatabaseID]ownerRecord
 	changed         chan struct{}
-	// ranks are this instance's ranks among the owner candidates of each database. sortedInstances are the instances by id and
-	// localReaders the store readers of the data centre; both are nil after a change until they are needed.
+	// unsettled is what may need a change of this instance's ownerships. concerns are the databases of the configuration concernsOf that
+	// concern it; nil after a change until they are needed.
+	unsettled  unsettled
+	concerns   []types.DatabaseID
+	concernsOf *routes.Table
+	// ranks are this instance's ranks among the owner candidates of each database. sortedInstances are the instances by id, localReaders
+	// and remoteReaders the store readers of the data centre and of the others; all are nil after a change until they are needed.
 	ranks           *fleet.Ranks
 	sortedInstances []fleet.Instance
 	localReaders    []fleet.Instance
+	remoteReaders   []fleet.Instance
+}
+
+// unsettled are the databases whose owner record has changed, or all, since the ownership manager last looked.
+type unsettled struct {
+	databases map[types.DatabaseID]bool
+	all       bool
 }
 
 func newDirectory(self fleet.Instance) *directory {
 	return &directory{
 		self: self, instances: map[types.InstanceID]fleet.Instance{self.ID: self}, items: map[string]Item{},
 		owners: map[types.DatabaseID]ownerRecord{}, changed: make(chan struct{}), ranks: fleet.NewRanks(self),
+		unsettled: unsettled{databases: map[types.DatabaseID]bool{}},
 	}
 }
 
@@ -191,6 +205,22 @@
 	return d.localReaders
 }
 
+// readersElsewhere returns the store readers of the other data centres. The caller must not modify the slice.
+func (d *directory) readersElsewhere() []fleet.Instance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.remoteReaders == nil {
+		d.remoteReaders = []fleet.Instance{}
+		membership := fleet.Membership{Instances: d.sortedByID()}
+		for _, dataCentre := range membership.DataCentres() {
+			if dataCentre != d.self.DataCentre {
+				d.remoteReaders = append(d.remoteReaders, membership.StoreReaders(dataCentre)...)
+			}
+		}
+	}
+	return d.remoteReaders
+}
+
 // localPosition returns how many instances of this one's data centre come before it by id, and how many there are in all.
 func (d *directory) localPosition() (position, count int) {
 	d.mu.Lock()
@@ -207,6 +237,29 @@
 	return position, count
 }
 
+// concerning returns the databases that this instance works for or may have to claim. All others have an owner that other candidates
+// replace. The caller must not modify the slice.
+func (d *directory) concerning(table *routes.Table) []types.DatabaseID {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.concerns != nil && d.concernsOf == table {
+		return d.concerns
+	}
+	d.concerns, d.concernsOf = []types.DatabaseID{}, table
+	for id := range table.Databases {
+		if record, known := d.owners[id]; !known || d.concernsSelf(id, record) {
+			d.concerns = append(d.concerns, id)
+		}
+	}
+	return d.concerns
+}
+
+// concernsSelf reports whether the record names this instance, or an owner that it may have to replace. The caller holds the lock.
+func (d *directory) concernsSelf(database types.DatabaseID, record ownerRecord) bool {
+	return record.lost || record.Instance == d.self.ID || record.HasStandby(d.self) ||
+		d.instances[record.Instance].Incarnation > record.Incarnation || d.ranks.Of(database, record.Instance) < maxMonitorsInOutage
+}
+
 // nextChange returns a channel that is closed at the next change or call of wake.
 func (d *directory) nextChange() <-chan struct{} {
 	d.mu.Lock()
@@ -221,6 +274,23 @@
 	d.notify()
 }
 
+// unsettle wakes them like wake, and has the ownership manager look at all databases.
+func (d *directory) unsettle() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.unsettled.all = true
+	d.notify()
+}
+
+// takeUnsettled returns what has changed since its last call.
+func (d *directory) takeUnsettled() unsettled {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	taken := d.unsettled
+	d.unsettled = unsettled{databases: map[types.DatabaseID]bool{}}
+	return taken
+}
+
 // notify closes the channel of the current change and creates the next. The caller holds the lock.
 func (d *directory) notify() {
 	close(d.changed)
--- a/io/node/directoryitems.go
+++ b/io/node/directoryitems.go
@@ -21,11 +21,13 @@
 	previous := d.items[item.Key].Revision
 	d.items[item.Key] = item
 	d.recordRecent(item)
+	d.concerns = nil
 	defer d.notify()
 	if id, found := strings.CutPrefix(item.Key, instancesPrefix); found {
 		return d.applyInstance(types.InstanceID(id), item, previous)
 	}
 	if database, found := strings.CutPrefix(item.Key, ownersPrefix); found {
+		d.unsettled.databases[types.DatabaseID(database)] = true
 		d.applyOwner(types.DatabaseID(database), item)
 	}
 	return false
@@ -41,13 +43,18 @@
 	if item.Deleted && previous.Era() < item.Revision.Era() {
 		return false
 	}
-	d.sortedInstances, d.localReaders = nil, nil
+	d.sortedInstances, d.localReaders, d.remoteReaders = nil, nil, nil
 	instance := fleet.Instance{}
 	if item.Deleted || json.Unmarshal(item.Value, &instance) != nil || instance.ID != id {
+		d.unsettled.all = true
 		delete(d.instances, id)
 		d.ranks.Remove(id)
 		return false
 	}
+	if former, known := d.instances[id]; known && former != instance {
+		// The owner of a database may have been restarted or may be leaving.
+		d.unsettled.all = true
+	}
 	d.instances[id] = instance
 	d.ranks.Put(instance)
 	return false
--- a/io/node/fleetsync.go
+++ b/io/node/fleetsync.go
@@ -87,6 +87,10 @@
 	for known := s.fleetRevision.Load(); uint64(revision) > known && !s.fleetRevision.CompareAndSwap(known, uint64(revision)); {
 		known = s.fleetRevision.Load()
 	}
+	if len(items) > 0 {
+		// Followers that wait for these changes get them once they are complete.
+		s.node.directory.wake()
+	}
 }
 
 // publishEntry writes this instance's entry, which holds its address, into the store and reports whether the store holds it.
--- a/io/node/identity_test.go
+++ b/io/node/identity_test.go
@@ -259,6 +259,23 @@
 	}
 }
 
+// TestRefusedInstanceFindsTheOneThatTheStoreServes guards against instances that ask, of a few others drawn anew each time, those that have just
+// turned out to be no way to the store: their proof lapses before they find one that is.
+func TestRefusedInstanceFindsTheOneThatTheStoreServes(t *testing.T) {
+	t.Parallel()
+	const count, wait = 7, 6 * time.Second
+	site := newSite(t)
+	all := newDataCentre(t, site, count)
+	for _, i := range all[1:] {
+		i.refused.Store(true)
+	}
+	time.Sleep(wait)
+	for _, i := range all {
+		_, err := fakepl.DialAs(i.callers, "primary", withdrawnKey)
+		require.NoError(t, err, "%s", i.id)
+	}
+}
+
 func sessionOpensAs(i *testInstance, key string) bool {
 	c, err := fakepl.DialAs(i.callers, "primary", key)
 	if err == nil {
--- a/io/node/memberentries.go
+++ b/io/node/memberentries.go
@@ -17,21 +17,32 @@
 	// entriesInterval is the time between two reads of the members' entries. A leaving member runs statements for another
 	// 7 s, which is long enough to notice that it leaves.
 	entriesInterval = 2 * time.Second
-	// minEntriesInterval is the shortest time between the end of one read and the start of the next.
+	// minEntriesInterval is the shortest time between the end of one read and the start of the next, and the age up to which a store reader
+	// answers a request to read soon from a read that it has made for others.
 	minEntriesInterval = 200 * time.Millisecond
+	// entriesMaxAge is that age for the regular reads.
+	entriesMaxAge = 500 * time.Millisecond
 	// missingGracePeriod is how long an entry may be missing before its member counts as gone. Entries that expired while the
 	// store was unavailable are back within two seconds.
 	missingGracePeriod = 2500 * time.Millisecond
 )
 
-// memberEntries reads the entries that members keep in the store, as long as this instance owns a database.
+// memberEntries reads the entries that members keep in the store, as long as this instance owns a database. An instance that follows store
+// readers gets from them the entries of its databases: all entries for each owner would grow with the square of the fleet.
 type memberEntries struct {
 	node *Node
-	// refreshes holds at most one request to read the entries soon.
+	// reader reads the entries of all databases for this instance and for its followers.
+	reader *sharedReader
+	// refreshes holds at most one request to read the entries soon, and starts one to get those of a database that this instance has just
+	// begun to own.
 	refreshes chan struct{}
+	starts    chan struct{}
 
 	mu sync.Mutex
-	// known holds each member as its last entry described it. It includes members whose entry is missing.
+	// lastRecent is when a store reader last gave entries, or when this instance last had its turn to read all of them; turns counts those.
+	lastRecent clock.Moment
+	turns      int
+	// known holds each member of the owned databases as its last entry described it. It includes members whose entry is missing.
 	known map[types.TargetID]routes.Member
 	// missingSince is when a known member's entry was first missing from a read.
 	missingSince map[types.TargetID]clock.Moment
@@ -49,7 +60,7 @@
 
 func newMemberEntries(n *Node) *memberEntries {
 	return &memberEntries{
-		node: n, refreshes: make(chan struct{}, 1),
+		node: n, reader: newMembersReader(n), refreshes: make(chan struct{}, 1), starts: make(chan struct{}, 1),
 		known: map[types.TargetID]routes.Member{}, missingSince: map[types.TargetID]clock.Moment{},
 		stays: map[types.TargetID]stay{},
 	}
@@ -73,9 +84,18 @@
 }
 
 // refresh requests a read soon, without waiting for it.
-func (e *memberEntries) refresh() {
+func (e *memberEntries) refresh() { request(e.refreshes) }
+
+// start requests the entries of a database that this instance has begun to own, without waiting for them: those of a read that was made
+// already at once, and then a later read.
+func (e *memberEntries) start() {
+	request(e.starts)
+	request(e.refreshes)
+}
+
+func request(requests chan<- struct{}) {
 	select {
-	case e.refreshes <- struct{}{}:
+	case requests <- struct{}{}:
 	default:
 	}
 }
@@ -85,70 +105,125 @@
 	ticker := time.NewTicker(entriesInterval)
 	defer ticker.Stop()
 	for {
+		maxAge := entriesMaxAge
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		case <-e.refreshes:
+			maxAge = minEntriesInterval
 		}
-		if !e.node.ownerships.ownsAny() {
-			continue
+		if e.update(ctx, maxAge) && !pause.For(ctx, minEntriesInterval) {
+			return
 		}
-		e.read(ctx)
-		if !pause.For(ctx, minEntriesInterval) {
+	}
+}
+
+// runStarts gets the entries of databases that this instance has begun to own. It does not wait for run, which pauses between two reads.
+func (e *memberEntries) runStarts(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
 			return
+		case <-e.starts:
+			e.update(ctx, entriesMaxAge)
 		}
 	}
 }
 
-// read reads all entries, drops members whose entry has been missing for too long, and passes the members on.
-func (e *memberEntries) read(ctx context.Context) {
-	n := e.node
-	items, revision, err := n.store.Range(ctx, n.settings.Formats.MembersPrefix)
+// update takes over a read of the entries of the owned databases, of at most the given age from a store reader. It reports false when this
+// instance owns no database.
+func (e *memberEntries) update(ctx context.Context, maxAge time.Duration) bool {
+	databases := e.node.ownerships.databases()
+	if len(databases) == 0 {
+		return false
+	}
+	reading, err := e.recent(ctx, databases, maxAge)
 	if err != nil {
-		n.logger.Debug("member entries not read", "error", err)
-		return
+		e.node.logger.Debug("member entries not read", "error", err)
+		return true
 	}
+	e.apply(databases, reading)
+	return true
+}
+
+// apply takes over the entries of the databases, drops members whose entry has been missing for too long, and passes the members on.
+func (e *memberEntries) apply(databases []types.DatabaseID, reading storeReading) {
+	n := e.node
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := n.settings.Clock.Now()
-	present := map[types.TargetID]bool{}
-	for _, item := range items {
-		if m, usable := n.settings.Formats.ParseMember(item); usable {
-			present[m.Target] = true
-			switch known := e.known[m.Target]; {
-			case m.Leaving:
-			case !n.eras.restoredWithin(missingGracePeriod):
-				e.stays[m.Target] = stay{m.StartedUnixMs, revision}
-			case known.Leaving && known.StartedUnixMs == m.StartedUnixMs:
-				// The store was restored from a copy without the notice, which is written again.
-				m.Leaving = true
+	if reading.revision < e.readRevision {
+		// Another store reader has handed on a later read before.
+		return
+	}
+	e.readRevision = reading.revision
+	for _, database := range databases {
+		if n.ownerships.get(database) == nil {
+			continue
+		}
+		present := map[types.TargetID]bool{}
+		for _, item := range reading.byDatabase[database] {
+			if m, usable := n.settings.Formats.ParseMember(item); usable {
+				present[m.Target] = true
+				e.applyMember(m, reading.revision)
+			}
+		}
+		e.dropMissing(database, present, reading.sent)
+		var members []routes.Member
+		for _, m := range e.known {
+			if m.Database == database {
+				members = append(members, m)
 			}
-			e.known[m.Target] = e.withLastUse(m)
-			delete(e.missingSince, m.Target)
 		}
+		n.ownerships.setMembers(database, members)
+	}
+}
+
+// applyMember takes over the entry of a member in a read that showed the revision. The caller holds the lock.
+func (e *memberEntries) applyMember(m routes.Member, revision types.Revision) {
+	switch known := e.known[m.Target]; {
+	case m.Leaving:
+	case !e.node.eras.restoredWithin(missingGracePeriod):
+		e.stays[m.Target] = stay{m.StartedUnixMs, revision}
+	case known.Leaving && known.StartedUnixMs == m.StartedUnixMs:
+		// The store was restored from a copy without the notice, which is written again.
+		m.Leaving = true
 	}
-	for target := range e.known {
-		if present[target] {
+	e.known[m.Target] = e.withLastUse(m)
+	delete(e.missingSince, m.Target)
+}
+
+// dropMissing drops the members of the database whose entry has been missing for too long, as of a read that was sent at the moment. The
+// caller holds the lock.
+func (e *memberEntries) dropMissing(database types.DatabaseID, present map[types.TargetID]bool, sent clock.Moment) {
+	for target, m := range e.known {
+		if m.Database != database || present[target] {
 			continue
 		}
 		since, missing := e.missingSince[target]
 		if !missing {
-			e.missingSince[target] = now
+			// The answer is later than the read, so that the time for which the entry was missing is not taken for longer than it was.
+			e.missingSince[target] = e.node.settings.Clock.Now()
 			continue
 		}
-		if now.Sub(since) > missingGracePeriod {
+		if sent.Sub(since) > missingGracePeriod {
 			delete(e.known, target)
 			delete(e.missingSince, target)
 			delete(e.stays, target)
 		}
 	}
-	e.readRevision = revision
-	byDatabase := map[types.DatabaseID][]routes.Member{}
-	for _, m := range e.known {
-		byDatabase[m.Database] = append(byDatabase[m.Database], m)
+}
+
+// forget drops what is known of the members of a database that this instance has ceased to own.
+func (e *memberEntries) forget(database types.DatabaseID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for target, m := range e.known {
+		if m.Database == database {
+			delete(e.known, target)
+			delete(e.missingSince, target)
+		}
 	}
-	n.ownerships.setMembers(byDatabase)
 }
 
 // withLastUse returns the member with the end of its use if it leaves. The caller holds the lock.
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -87,6 +87,7 @@
 	n.callers = front.New(front.Settings{
 		Listener: s.Callers, NewCallerConn: s.NewCallerConn, Routes: n.routes, Router: &router{node: n}, Logger: s.RequestLogger,
 		Budget: n.budget, Meter: s.Meter, Usage: n.usage, KeysProved: n.storeSync.proof.Holds, Outdated: n.storeSync.isOutdated,
+		Superseded: n.storeSync.isSuperseded,
 	})
 	n.serveReady()
 	n.serveMetrics()
@@ -97,6 +98,7 @@
 		n.goroutines.Go(func() { n.watchProof(ctx) })
 	}
 	n.goroutines.Go(func() { n.memberEntries.run(ctx) })
+	n.goroutines.Go(func() { n.memberEntries.runStarts(ctx) })
 	n.goroutines.Go(func() { n.ownerships.run(ctx) })
 	n.goroutines.Go(func() { n.ownerships.keepRenewed(ctx) })
 	n.goroutines.Go(func() { n.selfWatch.run(ctx) })
--- a/io/node/ownershipmanager.go
+++ b/io/node/ownershipmanager.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -20,7 +20,7 @@
 const (
 	// renewInterval is the time between two reads of the owner records, which renew the leases of owners and standbys.
 	renewInterval = 1500 * time.Millisecond
-	// reconcileInterval is the longest time between two calls of reconcile.
+	// reconcileInterval is the longest time between two calls of reconcileAll.
 	reconcileInterval = 100 * time.Millisecond
 	// claimRankDelay is how much later each candidate claims a database than the candidate of the next better rank.
 	claimRankDelay = 150 * time.Millisecond
@@ -32,7 +32,7 @@
 type ownershipManager struct {
 	node     *Node
 	detector *failureDetector
-	records  *recordsReader
+	records  *sharedReader
 	// renewedFromReader is the sending of the last read of a store reader that renewed all leases of this instance.
 	// lastRenewal is when this instance last began to renew them itself.
 	renewedFromReader moment
@@ -42,6 +42,8 @@
 	byDatabase map[types.DatabaseID]*ownership
 	// draining are the ownerships that have ended while their open transactions go on.
 	draining map[types.DatabaseID][]*ownership
+	// ending are those whose owner has not been told yet that this instance has stopped.
+	ending map[*ownership]bool
 	// stopReports are the reports of former owners and standbys that they have stopped.
 	stopReports map[types.DatabaseID]map[hold.Owner]stopReport
 	// ownerlessSince is the moment since which a database has no living owner. After a claim that the store did not answer, it
@@ -61,8 +63,8 @@
 
 func newOwnershipManager(n *Node) *ownershipManager {
 	return &ownershipManager{
-		node: n, detector: newFailureDetector(n), records: &recordsReader{node: n}, byDatabase: map[types.DatabaseID]*ownership{},
-		draining: map[types.DatabaseID][]*ownership{}, stopReports: map[types.DatabaseID]map[hold.Owner]stopReport{},
+		node: n, detector: newFailureDetector(n), records: newRecordsReader(n), byDatabase: map[types.DatabaseID]*ownership{},
+		draining: map[types.DatabaseID][]*ownership{}, ending: map[*ownership]bool{}, stopReports: map[types.DatabaseID]map[hold.Owner]stopReport{},
 		ownerlessSince: map[types.DatabaseID]clock.Moment{}, members: map[types.DatabaseID][]routes.Member{},
 		standbyRenewals: map[types.DatabaseID]standbyRenewal{}, receivedMembers: map[types.DatabaseID][]routes.Member{},
 		fencedEpochs: map[types.DatabaseID]types.Epoch{},
@@ -86,68 +88,6 @@
 	}
 }
 
-// run reconciles the ownerships at each change of the directory and at least every reconcileInterval.
-func (m *ownershipManager) run(ctx context.Context) {
-	reconcileTicker := time.NewTicker(reconcileInterval)
-	defer reconcileTicker.Stop()
-	for {
-		changed := m.node.directory.nextChange()
-		m.reconcile(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-reconcileTicker.C:
-		case <-changed:
-		}
-	}
-}
-
-// reconcile brings this instance's ownerships in line with the owner records in the directory.
-func (m *ownershipManager) reconcile(ctx context.Context) {
-	table := m.node.routes.Table()
-	if table == nil {
-		return
-	}
-	for id, database := range table.Databases {
-		record, known := m.node.directory.owner(id)
-		owned := m.get(id)
-		switch {
-		case owned != nil:
-			m.reconcileOwned(ctx, owned, record, known)
-		case known && record.IsOwnedBy(m.node.settings.Self) && !record.lost:
-			m.adopt(ctx, database)
-		default:
-			m.claimIfOwnerless(ctx, database, record, known)
-		}
-	}
-}
-
-// reconcileOwned brings an ownership, or the work as a standby, in line with the owner record.
-func (m *ownershipManager) reconcileOwned(ctx context.Context, owned *ownership, record ownerRecord, known bool) {
-	switch {
-	case known && owned.isSuperseded(record), owned.isActing() && !owned.lease.Valid():
-		m.endOwnership(owned, record)
-	case owned.isActing():
-		if known && record.lost {
-			owned.rebase(record.revision)
-		}
-		m.becomeOwner(ctx, owned)
-	case known && record.lost:
-		m.restoreRecord(ctx, owned, record.revision)
-	default:
-		if known && record.IsOwnedBy(m.node.settings.Self) {
-			owned.updateRecord(record)
-		}
-		if !known {
-			m.restoreRecord(ctx, owned, 0)
-		}
-		m.completeRecord(ctx, owned)
-		m.relocate(ctx, owned)
-		m.designateStandby(ctx, owned)
-		m.sendMembers(ctx, owned)
-	}
-}
-
 // newOwnership returns an ownership with the record and an expired lease, so that it gives no right to work yet.
 func (m *ownershipManager) newOwnership(database routes.Database, record ownerRecord) *ownership {
 	n := m.node
@@ -191,8 +131,8 @@
 	}
 	n.goroutines.Go(func() { (&borrower{limits: n.limits, ownership: owned}).run(n.ctx) })
 	n.goroutines.Go(func() { owned.stopFormer(n.ctx) })
-	n.memberEntries.refresh()
-	n.directory.wake()
+	n.memberEntries.start()
+	n.directory.unsettle()
 }
 
 // endOwnership ends an ownership because the owner record names another instance, or because the lease of an acting standby
@@ -201,8 +141,11 @@
 	m.node.logger.Info("database ownership lost", "database", owned.database, "owner", record.Instance, "revision", record.revision)
 	m.mu.Lock()
 	delete(m.byDatabase, owned.database)
+	delete(m.members, owned.database)
 	m.draining[owned.database] = append(m.draining[owned.database], owned)
+	m.ending[owned] = true
 	m.mu.Unlock()
+	m.node.memberEntries.forget(owned.database)
 	owned.group.Drain()
 	m.node.goroutines.Go(func() {
 		defer close(owned.drained)
@@ -215,6 +158,9 @@
 		}
 		m.mu.Unlock()
 		m.reportStop(owned.database, false)
+		m.mu.Lock()
+		delete(m.ending, owned)
+		m.mu.Unlock()
 		owned.group.Close()
 	})
 }
@@ -237,10 +183,7 @@
 	m.mu.Lock()
 	all := m.byDatabase
 	m.byDatabase = map[types.DatabaseID]*ownership{}
-	var draining []*ownership
-	for _, ended := range m.draining {
-		draining = append(draining, ended...)
-	}
+	ending := slices.Collect(maps.Keys(m.ending))
 	m.mu.Unlock()
 	var ends sync.WaitGroup
 	for _, owned := range all {
@@ -255,24 +198,18 @@
 			ends.Go(func() { m.reportStop(types.DatabaseID(database), true) })
 		}
 	}
-	for _, owned := range draining {
+	for _, owned := range ending {
 		<-owned.drained
 	}
 	ends.Wait()
 	m.detector.close()
 }
 
-// setMembers replaces the members of all databases, sorted by target, and passes them to the groups of the owned ones.
-func (m *ownershipManager) setMembers(byDatabase map[types.DatabaseID][]routes.Member) {
+// databases returns the databases that this instance owns, or for which it acts as the standby.
+func (m *ownershipManager) databases() []types.DatabaseID {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, members := range byDatabase {
-		slices.SortFunc(members, func(a, b routes.Member) int { return strings.Compare(string(a.Target), string(b.Target)) })
-	}
-	m.members = byDatabase
-	for id, owned := range m.byDatabase {
-		owned.group.SetMembers(byDatabase[id])
-	}
+	return slices.Collect(maps.Keys(m.byDatabase))
 }
 
 func (m *ownershipManager) get(database types.DatabaseID) *ownership {
--- a/io/node/peercalls.go
+++ b/io/node/peercalls.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"turmericpulley/core/fleet"
 	"turmericpulley/core/routes"
@@ -34,7 +35,7 @@
 	}
 	defer channel.Close()
 	deadline, _ := ctx.Deadline()
-	return n.exchange(deadline, channel, call)
+	return n.exchangePatiently(deadline, channel, call)
 }
 
 // channelOpenTimeout bounds the opening of a channel to an instance. It takes a network round trip when there is no session
@@ -50,6 +51,18 @@
 
 // exchange sends a call on an open channel and waits for the reply. Each carries the sender's configuration version.
 func (n *Node) exchange(deadline time.Time, channel *peers.Channel, call *wire.Call) (*wire.CallReply, error) {
+	return n.exchangeWith(deadline, channel, call, channel.Receive)
+}
+
+// exchangePatiently is exchange for replies that may be large: the deadline counts for the begin of the reply.
+func (n *Node) exchangePatiently(deadline time.Time, channel *peers.Channel, call *wire.Call) (*wire.CallReply, error) {
+	return n.exchangeWith(deadline, channel, call, func(reply proto.Message) error { return channel.ReceivePatiently(reply, peerCallTimeout) })
+}
+
+// exchangeWith is exchange with the way in which the reply is received.
+func (n *Node) exchangeWith(
+	deadline time.Time, channel *peers.Channel, call *wire.Call, receive func(proto.Message) error,
+) (*wire.CallReply, error) {
 	if err := channel.Conn().SetDeadline(deadline); err != nil {
 		return nil, errors.Wrap(err, "setting a deadline")
 	}
@@ -58,7 +71,7 @@
 		return nil, err
 	}
 	reply := &wire.CallReply{}
-	if err := channel.Receive(reply); err != nil {
+	if err := receive(reply); err != nil {
 		return nil, errors.Wrap(err, "waiting for the reply of another instance")
 	}
 	n.noticeVersion(reply.GetConfiguration())
@@ -67,9 +80,10 @@
 
 // noticeVersion fetches the configuration when another instance reports a newer version than this one has. One fetch runs at
 // a time. An instance that has a configuration first waits for the version to arrive from the store's watch or a store reader. If it
-// does not, it reads the store, and if the store does not answer, it asks other instances.
+// does not, it asks other instances, of which most have the version by then, and reads the store if they do not answer.
 func (n *Node) noticeVersion(version int64) {
 	n.storeSync.proof.Notice(routes.Version(version))
+	n.storeSync.backlog.Hear(routes.Version(version))
 	if version <= n.configurationVersion() || !n.fetchingConfiguration.CompareAndSwap(false, true) {
 		return
 	}
@@ -78,14 +92,13 @@
 		if n.configurationVersion() > 0 && n.storeSync.awaitVersion(n.ctx, version) {
 			return
 		}
-		if i, found, err := n.store.Get(n.ctx, n.settings.Formats.ConfigurationKey); err == nil && found {
-			n.storeSync.applyConfiguration(i)
-			if n.configurationVersion() >= version {
-				return
-			}
-			// A restored store holds an older configuration than the other instance, which may have withdrawn keys.
-		}
 		n.storeSync.fetchFromPeers(n.ctx)
+		if n.configurationVersion() >= version {
+			return
+		}
+		if i, found, err := n.directStore.Get(n.ctx, n.settings.Formats.ConfigurationKey); err == nil && found {
+			n.storeSync.applyConfiguration(i, fromStore)
+		}
 	})
 }
 
@@ -245,7 +258,9 @@
 	case *wire.Call_Follow:
 		return &wire.CallReply{Kind: &wire.CallReply_Followed{Followed: n.storeSync.serveFollow(kind.Follow, call.GetConfiguration())}}
 	case *wire.Call_ConfigurationQuery:
-		return &wire.CallReply{Kind: &wire.CallReply_ConfigurationValue{ConfigurationValue: n.storeSync.configurationMessage()}}
+		return &wire.CallReply{Kind: &wire.CallReply_ConfigurationValue{ConfigurationValue: n.storeSync.serveConfiguration(kind.ConfigurationQuery)}}
+	case *wire.Call_MembersQuery:
+		return &wire.CallReply{Kind: &wire.CallReply_MembersReading{MembersReading: n.memberEntries.serveMembers(kind.MembersQuery)}}
 	default:
 		return &wire.CallReply{}
 	}
--- a/io/node/readers.go
+++ b/io/node/readers.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"math"
 	"slices"
 	"time"
 
-	"turmericpulley/core/clock"
 	"turmericpulley/core/cover"
 	"turmericpulley/core/fleet"
 	"turmericpulley/core/pause"
@@ -21,6 +19,8 @@
 	// long the reader holds a follower's request. Both together stay below the age up to which a follower's copy is fresh.
 	readerWatchTimeout = 700 * time.Millisecond
 	followTimeout      = 700 * time.Millisecond
+	// readerFollowTimeout is followTimeout for the request of another store reader, whose own followers' copies age with both.
+	readerFollowTimeout = 300 * time.Millisecond
 	// followAnswerMargin is how long after the end of followTimeout the answer may still arrive.
 	followAnswerMargin = 400 * time.Millisecond
 	// recordsMaxAge is the age up to which a store reader hands on a read of the owner records. With the time that it holds a
@@ -41,9 +41,6 @@
 	// followBatchDelay is how long a reader waits after a change of the instances, so that changes that occur together go into
 	// one answer.
 	followBatchDelay = 200 * time.Millisecond
-	// maxForwardedBytes is the size of the largest configuration that readers send to followers. Thirteen followers share the
-	// 10 Mbit/s of the smallest machines, so a larger one would hold up a reader's other work for more than a third of a second.
-	maxForwardedBytes = 32 << 10
 	// versionTimeout is how long an instance waits for a configuration that other instances have to arrive from the store's watch or
 	// its store reader. It exceeds the pause between two fetches of a storm of changes.
 	versionTimeout = 800 * time.Millisecond
@@ -57,8 +54,9 @@
 	return n.directory.readers()
 }
 
-// readersToAsk returns the store readers that this instance asks for changes. A store reader that the store does not serve asks the others:
-// relayed calls go to instances chosen at random, and fail for seconds when the store refuses most of them.
+// readersToAsk returns the store readers that this instance asks for changes. A store reader that the store does not serve asks the others,
+// those of other data centres too: the store may refuse a whole data centre. Relayed calls go to instances chosen at random, and fail for
+// seconds when the store refuses most of them.
 func (s *storeSync) readersToAsk() []fleet.Instance {
 	n := s.node
 	if !n.isStoreReader() {
@@ -67,7 +65,7 @@
 	if s.ownServed.isWithin(servedPeriod, n.settings.Clock.Now()) {
 		return nil
 	}
-	others := slices.Clone(n.directory.readers())
+	others := slices.Concat(n.directory.readers(), n.directory.readersElsewhere())
 	return slices.DeleteFunc(others, func(i fleet.Instance) bool { return i.ID == n.settings.Self.ID })
 }
 
@@ -133,12 +131,15 @@
 	}
 }
 
-// followReaders asks store readers of the data centre for changes. It stays with one reader as long as that one answers.
+// followReaders asks store readers for changes. It stays with one reader as long as that one answers. The followers of a data centre begin
+// with different ones, which halves the work of each.
 func (s *storeSync) followReaders(ctx context.Context) {
-	for turn := 0; ctx.Err() == nil; turn++ {
+	turn, _ := s.node.directory.localPosition()
+	for ; ctx.Err() == nil; turn++ {
 		readers := s.readersToAsk()
 		if len(readers) == 0 || s.fleetRevision.Load() == 0 {
-			pause.For(ctx, readersInterval)
+			turn, _ = s.node.directory.localPosition()
+			s.awaitReaders(ctx)
 			continue
 		}
 		s.followReader(ctx, readers[turn%len(readers)])
@@ -146,6 +147,17 @@
 	}
 }
 
+// awaitReaders waits for a change of the instances, at most readersInterval.
+func (s *storeSync) awaitReaders(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readersInterval)
+	defer cancel()
+	select {
+	case <-s.node.directory.nextChange():
+		pause.For(ctx, freshnessCheckInterval)
+	case <-ctx.Done():
+	}
+}
+
 // followReader asks one reader for changes until the reader gives no usable answer or is no store reader any more, or until this
 // instance has to read all instances and owners from the store.
 func (s *storeSync) followReader(ctx context.Context, reader fleet.Instance) {
@@ -169,34 +181,33 @@
 func (s *storeSync) followOnce(ctx context.Context, channel *peers.Channel, reader fleet.Instance) bool {
 	n := s.node
 	wait := followTimeout
+	if n.isStoreReader() {
+		wait = readerFollowTimeout
+	}
 	if !s.proof.Holds() {
 		// The reader may have a proof already, of which it would tell only at the end of the wait.
 		wait = 0
 	}
 	sent := n.settings.Clock.Now()
-	reply, err := n.exchange(time.Now().Add(followTimeout+followAnswerMargin), channel, &wire.Call{Kind: &wire.Call_Follow{Follow: &wire.Follow{
+	reply, err := n.exchangePatiently(time.Now().Add(followTimeout+followAnswerMargin), channel, &wire.Call{Kind: &wire.Call_Follow{Follow: &wire.Follow{
 		FleetRevision: s.fleetRevision.Load(), WaitMs: uint32(wait.Milliseconds()), Held: n.directory.heldDatabases(),
+		ConfigurationRevision: uint64(s.configurationRevision()),
 	}}})
 	followed := reply.GetFollowed()
 	if err == nil && followed != nil {
 		s.readerAnswered.set(n.settings.Clock.Now())
 	}
+	// A configuration is worth having, also from a reader whose copy is not known to be fresh, as right after a start.
+	s.applyPeerConfiguration(followed.GetConfiguration(), string(reader.ID))
 	if err != nil || followed == nil || !followed.GetCovered() {
 		n.logger.Debug("store reader gave no usable answer", "reader", reader.ID, "error", err)
 		return false
 	}
 	s.served.record(reader.PeerAddress, n.settings.Clock.Now())
-	s.applyPeerConfiguration(followed.GetConfiguration())
-	items := make([]Item, 0, len(followed.GetItems()))
-	for _, item := range followed.GetItems() {
-		items = append(items, Item{
-			Key: item.GetKey(), Value: item.GetValue(), Revision: types.Revision(item.GetRevision()), Deleted: item.GetDeleted(),
-		})
-	}
-	s.applyFleet(items, types.Revision(followed.GetFleetRevision()))
+	s.applyFleet(decodeItems(followed.GetItems()), types.Revision(followed.GetFleetRevision()))
 	if reply.GetConfiguration() > n.configurationVersion() {
-		// The reader has a configuration that is too large to send. It answers every request at once until this instance has
-		// read that configuration from the store. The pause limits the rate of these requests.
+		// The reader's configuration could not be used here. It answers every request at once until this instance has got that
+		// configuration. The pause limits the rate of these requests.
 		return pause.For(ctx, followRetryDelay)
 	}
 	held, age := milliseconds(followed.GetHeldMs()), milliseconds(followed.GetAgeMs())
@@ -216,87 +227,3 @@
 }
 
 func milliseconds(count uint32) time.Duration { return time.Duration(count) * time.Millisecond }
-
-// serveFollow answers a follower's request when there is a change, or when the request's waiting time ends. The version is that
-// of the follower's configuration.
-func (s *storeSync) serveFollow(request *wire.Follow, version int64) *wire.Followed {
-	n := s.node
-	received := n.settings.Clock.Now()
-	s.awaitChange(request, version)
-	answer := &wire.Followed{FleetRevision: s.fleetRevision.Load()}
-	// The moment of the proof is taken before the configuration: a read that arrives in between proves nothing for the older one.
-	proved, hasProof := s.proof.AsOf()
-	if message := s.configurationMessage(); n.configurationVersion() > version && len(message.GetValue()) <= maxForwardedBytes {
-		answer.Configuration = message
-	}
-	for _, item := range n.directory.changedSince(types.Revision(request.GetFleetRevision())) {
-		answer.Items = append(answer.Items, &wire.StoreItem{
-			Key: item.Key, Value: item.Value, Revision: uint64(item.Revision), Deleted: item.Deleted,
-		})
-	}
-	recordsSent := s.addRecords(answer, request.GetHeld())
-	answer.Covered = s.freshness.Remaining() > 0
-	fresh, _ := s.freshness.AsOf()
-	// All ages are those at one moment, that at which the request was held no longer: a suspension between two readings of the clock
-	// would make one of them too small.
-	answered := n.settings.Clock.Now()
-	answer.AgeMs = ageMilliseconds(answered.Sub(fresh))
-	answer.HeldMs = uint32(answered.Sub(received).Milliseconds())
-	if len(answer.GetRecords()) > 0 || answer.GetRecordsStoreRevision() != 0 {
-		answer.RecordsAgeMs = ageMilliseconds(answered.Sub(recordsSent))
-	}
-	if hasProof && s.proof.Needed() {
-		answer.ProofAgeMs = ageMilliseconds(answered.Sub(proved)) + 1
-	}
-	return answer
-}
-
-// addRecords adds the revisions of the owner records of the held databases to the answer, when the store serves this instance, and
-// returns when their read was sent.
-func (s *storeSync) addRecords(answer *wire.Followed, held []string) clock.Moment {
-	if len(held) == 0 {
-		return 0
-	}
-	reading, found := s.node.ownerships.records.forFollower()
-	if !found {
-		return 0
-	}
-	for _, database := range held {
-		if revision, found := reading.revisions[types.DatabaseID(database)]; found {
-			answer.Records = append(answer.Records, &wire.RecordRevision{Database: database, Revision: uint64(revision)})
-		}
-	}
-	answer.RecordsStoreRevision = uint64(reading.storeRevision)
-	return reading.sent
-}
-
-// ageMilliseconds rounds an age up, so that nothing counts as younger than it is, also not one that is too long for the message.
-func ageMilliseconds(age time.Duration) uint32 {
-	return uint32(min((age + time.Millisecond - 1).Milliseconds(), math.MaxUint32-1))
-}
-
-// awaitChange waits for a configuration newer than the version, or for changes of instances or owners. It waits at most as long
-// as the request says, and at most followTimeout.
-func (s *storeSync) awaitChange(request *wire.Follow, version int64) {
-	n := s.node
-	wait := min(time.Duration(request.GetWaitMs())*time.Millisecond, followTimeout)
-	ctx, cancel := context.WithTimeout(n.ctx, wait)
-	defer cancel()
-	for {
-		configuration, instances := n.routes.Changed(), n.directory.nextChange()
-		items := n.directory.changedSince(types.Revision(request.GetFleetRevision()))
-		switch {
-		case n.configurationVersion() > version || slices.ContainsFunc(items, isOwnerRecord):
-			return
-		case len(items) > 0:
-			pause.For(ctx, followBatchDelay)
-			return
-		}
-		select {
-		case <-configuration:
-		case <-instances:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
--- a/io/node/readers_test.go
+++ b/io/node/readers_test.go
@@ -16,9 +16,18 @@
 // newDataCentre starts instances of one data centre, and waits until all serve writes and have found their store readers.
 func newDataCentre(tb testing.TB, site *fakepl.Platform, count int) []*testInstance {
 	tb.Helper()
-	instances := make([]*testInstance, 0, count)
-	for i := range count {
-		instances = append(instances, startInstance(tb, site, fmt.Sprintf("frontend-%d", i)))
+	return newFleet(tb, site, count, place{dataCentre: "z1"})
+}
+
+// newFleet is newDataCentre for several data centres of as many instances each.
+func newFleet(tb testing.TB, site *fakepl.Platform, count int, places ...place) []*testInstance {
+	tb.Helper()
+	instances := make([]*testInstance, 0, count*len(places))
+	for _, at := range places {
+		for i := range count {
+			name := fmt.Sprintf("frontend-%s-%d", at.dataCentre, i)
+			instances = append(instances, startInstanceAt(tb, site, name, at, disconnectedDelay, gracePeriod, 0))
+		}
 	}
 	tb.Cleanup(func() {
 		var stopping sync.WaitGroup
@@ -97,10 +106,9 @@
 	}
 }
 
-// TestFollowersReadTooLargeConfigurationFromStore changes the configuration to one that store readers do not send because of
-// its size: each follower has to read it from the store. Until it has, its reader answers each of its requests at once. Without
-// a pause between them, 9 followers once sent 5,822 requests in 0.36 s.
-func TestFollowersReadTooLargeConfigurationFromStore(t *testing.T) {
+// TestFollowersGetLargeConfigurationFromReaders guards against configurations that every instance reads from the store because of their
+// size, and against followers that ask their reader again and again meanwhile: 9 followers once sent 5,822 requests in 0.36 s.
+func TestFollowersGetLargeConfigurationFromReaders(t *testing.T) {
 	site, err := fakepl.NewPlatform(0)
 	require.NoError(t, err)
 	defer site.Close()
@@ -109,7 +117,10 @@
 	for i := range names {
 		names[i] = fmt.Sprintf("large%d", i)
 	}
-	before := countPeerReads(all)
+	before, bytesBefore := countPeerReads(all), make([]int64, len(all))
+	for i, instance := range all {
+		bytesBefore[i] = instance.storeBytes.Load()
+	}
 	site.Configure(2, 1000, names...)
 	changed := time.Now()
 	for _, i := range all {
@@ -121,6 +132,13 @@
 	// With a pause of 100 ms each instance sends at most ten requests a second. Ten more reads per instance come from opening
 	// channels and from pings.
 	require.Less(t, reads, int64(len(all))*(10+10*elapsed.Milliseconds()/1000), "in %s", elapsed)
+	size, readByInstances := int64(len(site.Store.Value("op/config"))), 0
+	for i, instance := range all {
+		if instance.storeBytes.Load()-bytesBefore[i] >= size {
+			readByInstances++
+		}
+	}
+	require.LessOrEqual(t, readByInstances, 2, "instances that read the configuration from the store")
 }
 
 // TestStormOfConfigurationsIsReadInPart changes the configuration 25 times in two seconds. Each instance may read only a part of the
@@ -171,6 +189,27 @@
 	}
 }
 
+// TestFollowersDoNotAskAgainForWhatTheyHave guards against followers that ask their store reader without a pause while it knows of an owner record
+// from a read that its watch has not reached yet.
+func TestFollowersDoNotAskAgainForWhatTheyHave(t *testing.T) {
+	const count, window, mostReads = 11, 2 * time.Second, 3000
+	site, err := fakepl.NewPlatform(0)
+	require.NoError(t, err)
+	defer site.Close()
+	site.Configure(1, 1000)
+	all := newDataCentre(t, site, count)
+	for _, i := range all {
+		i.deaf.Store(true)
+	}
+	// Ends the watches that wait.
+	site.Store.Put("turmericpulley/owners/first", []byte("{}"))
+	time.Sleep(discoveryTime)
+	site.Store.Put("turmericpulley/owners/second", []byte("{}"))
+	before := countPeerReads(all)
+	time.Sleep(window)
+	require.Less(t, countPeerReads(all)-before, int64(mostReads))
+}
+
 // countPeerReads returns how often the instances have read from connections that other instances opened to them.
 func countPeerReads(all []*testInstance) int64 {
 	sum := int64(0)
--- a/io/node/selfwatch.go
+++ b/io/node/selfwatch.go
@@ -111,6 +111,7 @@
 	w.stale = true
 	now := n.settings.Clock.Now()
 	n.logger.Warn("configuration stale", "version", n.configurationVersion(), "age", age.Round(time.Millisecond).String(),
+		"behind", n.storeSync.backlog.Lasts().Round(time.Millisecond).String(),
 		"storeReader", n.isStoreReader(), "readersAnswer", n.storeSync.readerAnswered.isWithin(readerAnswerPeriod, now),
 		"storeServes", n.storeSync.ownServed.isWithin(servedPeriod, now))
 }
--- a/io/node/standby.go
+++ b/io/node/standby.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"turmericpulley/core/clock"
@@ -219,6 +220,19 @@
 	n.logger.Info("acting standby became the owner", "database", owned.database, "epoch", owned.lease.Epoch())
 }
 
+// setMembers replaces the members of an owned database, sorted by target, and passes them to its group.
+func (m *ownershipManager) setMembers(database types.DatabaseID, members []routes.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	owned := m.byDatabase[database]
+	if owned == nil {
+		return
+	}
+	slices.SortFunc(members, func(a, b routes.Member) int { return strings.Compare(string(a.Target), string(b.Target)) })
+	m.members[database] = members
+	owned.group.SetMembers(members)
+}
+
 // membersOf returns the last known members of the database.
 func (m *ownershipManager) membersOf(database types.DatabaseID) []routes.Member {
 	m.mu.Lock()
--- a/io/node/storesync.go
+++ b/io/node/storesync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -10,8 +11,6 @@
 	"turmericpulley/core/pause"
 	"turmericpulley/core/routes"
 	"turmericpulley/core/types"
-	"turmericpulley/io/logs"
-	"turmericpulley/io/wire"
 )
 
 const (
@@ -38,10 +37,16 @@
 // many instances only a few of them, the store readers, watch the store; the others, their followers, ask these for changes.
 type storeSync struct {
 	node *Node
-	// newestConfiguration is the newest configuration of the operator as it is sent to other instances, sealed; nil before the first.
+	// newestConfiguration is the newest configuration of the operator as it is sent to other instances; nil before the first.
 	newestConfiguration atomic.Pointer[sealedConfiguration]
+	// applying serialises the changes of the configuration in force and of newestConfiguration, which must agree.
+	applying sync.Mutex
+	// wholeNeeded is set after patches of other instances that did not fit, until a configuration comes into force.
+	wholeNeeded atomic.Bool
 	// freshness is how current the configuration is.
 	freshness *cover.Freshness
+	// backlog is since when a newer configuration has been known to exist.
+	backlog *cover.Backlog
 	// proof shows how long ago a key that is in force here may have been withdrawn at most.
 	proof *cover.Proof
 	// fleetRevision is the store's revision up to which all changes of instances and owners are known; zero requires a complete
@@ -57,15 +62,9 @@
 	served *servedInstances
 }
 
-// sealedConfiguration is the configuration in force as it is sent to other instances.
-type sealedConfiguration struct {
-	Item
-	version routes.Version
-}
-
 func newStoreSync(n *Node) *storeSync {
 	return &storeSync{
-		node: n, freshness: cover.New(n.settings.Clock, cover.MaxAge),
+		node: n, freshness: cover.New(n.settings.Clock, cover.MaxAge), backlog: cover.NewBacklog(n.settings.Clock),
 		proof: cover.NewProof(n.settings.Clock, n.settings.RevokeLimit), served: newServedInstances(),
 	}
 }
@@ -74,12 +73,19 @@
 // itself by then. It is the shortest time within which a change must be in force.
 const outdatedAge = 3 * time.Second
 
-// isOutdated reports whether the configuration may lack a change that was confirmed longer than outdatedAge ago.
+// supersededLimit is how long an instance that knows of a newer configuration still serves by its own. The shortest time within which a change
+// must be in force leaves a second for other instances to have it and to say so.
+const supersededLimit = 2 * time.Second
+
+// isOutdated reports whether the configuration lacks a change, or may lack one that was confirmed longer than outdatedAge ago.
 func (s *storeSync) isOutdated() bool {
 	age, known := s.freshness.Age()
-	return !known || age > outdatedAge
+	return !known || age > outdatedAge || s.backlog.Lasts() > 0
 }
 
+// isSuperseded reports whether the configuration has lacked a change for longer than supersededLimit.
+func (s *storeSync) isSuperseded() bool { return s.backlog.Lasts() > supersededLimit }
+
 // newBackoff returns the delays after consecutive failed calls.
 func newBackoff() *pause.Backoff { return &pause.Backoff{Min: minRetryDelay, Max: maxRetryDelay} }
 
@@ -98,6 +104,7 @@
 		}
 		version := n.configurationVersion()
 		if after == 0 {
+			s.awaitFirst(ctx)
 			if s.awaitTurn(ctx, failures); s.isFresh() {
 				continue
 			}
@@ -134,7 +141,7 @@
 		return 0
 	}
 	for _, item := range items {
-		s.applyConfiguration(item)
+		s.applyConfiguration(item, fromStore)
 	}
 	s.freshness.RecordWatch(sent, wait, len(items))
 	return next
@@ -150,13 +157,18 @@
 		// The readers have tried the other ways to the store.
 		store = n.directStore
 	}
-	items, revision, err := store.Range(ctx, n.settings.Formats.ConfigurationPrefix)
+	ctxRead, cancel := s.untilFresh(ctx)
+	defer cancel()
+	items, revision, err := store.Range(ctxRead, n.settings.Formats.ConfigurationPrefix)
+	if err != nil && ctxRead.Err() != nil {
+		return 0
+	}
 	s.recordServed(sent, err)
 	if err == nil {
 		s.logStoreState(available, true, "")
 		understood, shown := true, routes.Version(0)
 		for _, item := range items {
-			version, ok := s.applyConfiguration(item)
+			version, ok := s.applyConfiguration(item, fromStore)
 			understood, shown = understood && ok, max(shown, version)
 		}
 		s.freshness.RecordRead(sent)
@@ -194,78 +206,3 @@
 	}
 	s.node.logger.Warn("store unavailable", "reason", reason)
 }
-
-// applyConfiguration puts a configuration into force if its version is newer than the current one, and returns its version; zero for an item
-// that holds none. It reports false when the configuration cannot be understood, and may then withdraw keys that are in force here.
-func (s *storeSync) applyConfiguration(item Item) (routes.Version, bool) {
-	n := s.node
-	if item.Key != n.settings.Formats.ConfigurationKey || item.Deleted {
-		return 0, true
-	}
-	if newest := s.newestConfiguration.Load(); newest != nil && newest.Revision == item.Revision {
-		return newest.version, true
-	}
-	table, err := n.settings.Formats.ParseConfiguration(item.Value)
-	if err != nil {
-		n.unreadableConfigurations.Add(1)
-		n.logger.Error("configuration cannot be parsed", "revision", item.Revision, "error", err)
-		return 0, false
-	}
-	s.proof.Notice(table.Version)
-	if !n.routes.UpdateIfNewer(table) {
-		return table.Version, true
-	}
-	if item.Value, err = n.settings.Formats.SealConfiguration(item.Value); err != nil {
-		n.logger.Error("configuration cannot be sent to other instances", "revision", item.Revision, "error", err)
-		item.Value = nil
-	}
-	s.newestConfiguration.Store(&sealedConfiguration{item, table.Version})
-	n.logger.Info("configuration in force", "version", int64(table.Version), "revision", item.Revision, "routes", len(table.Routes),
-		"accounts", table.Accounts.Len())
-	for _, problem := range table.Accounts.Problems() {
-		n.logger.Error("client accounts of the configuration", "version", int64(table.Version), "problem", logs.Text(problem))
-	}
-	return table.Version, true
-}
-
-// applyPeerConfiguration applies the configuration in another instance's message, and reports whether it held one.
-func (s *storeSync) applyPeerConfiguration(message *wire.Configuration) bool {
-	if len(message.GetValue()) == 0 {
-		return false
-	}
-	s.applyConfiguration(Item{
-		Key: s.node.settings.Formats.ConfigurationKey, Value: message.GetValue(), Revision: types.Revision(message.GetRevision()),
-	})
-	return true
-}
-
-// configurationMessage returns the newest configuration as it is sent to other instances; it is empty before the first.
-func (s *storeSync) configurationMessage() *wire.Configuration {
-	newest := s.newestConfiguration.Load()
-	if newest == nil {
-		return &wire.Configuration{}
-	}
-	return &wire.Configuration{Value: newest.Value, Revision: uint64(newest.Revision)}
-}
-
-// configurationVersion returns the version of the configuration in force, zero before the first.
-func (n *Node) configurationVersion() int64 {
-	if t := n.routes.Table(); t != nil {
-		return int64(t.Version)
-	}
-	return 0
-}
-
-// fetchFromPeers asks other instances for their configuration until one of them has one.
-func (s *storeSync) fetchFromPeers(ctx context.Context) {
-	n := s.node
-	for _, address := range n.otherAddresses(maxRelayPeers) {
-		reply, err := n.call(ctx, address, &wire.Call{Kind: &wire.Call_ConfigurationQuery{ConfigurationQuery: &wire.ConfigurationQuery{}}})
-		if err != nil {
-			continue
-		}
-		if s.applyPeerConfiguration(reply.GetConfigurationValue()) {
-			return
-		}
-	}
-}
--- a/io/peers/codec.go
+++ b/io/peers/codec.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
@@ -25,6 +26,9 @@
 	initialBufferBytes = 512
 	// maxSmallBytes is the size of the largest message for which no room is asked; messages of the fleet itself are smaller.
 	maxSmallBytes = 64 << 10
+	// patientPartBytes is the size of the parts in which a message is read with patience. The slowest links take a twentieth of a second
+	// for one when they have nothing else to carry.
+	patientPartBytes = 16 << 10
 	// maxKeptBufferBytes is the size of the largest buffer that is kept for the next message.
 	maxKeptBufferBytes = 256 << 10
 )
@@ -36,6 +40,8 @@
 	writeMu   sync.Mutex
 	outBuffer []byte
 	inBuffer  []byte
+	// patience is how long each part of the message that is being read may take, whatever the deadline; zero keeps the deadline.
+	patience time.Duration
 }
 
 func newCodec(conn net.Conn, counters *Counters) *codec {
@@ -129,20 +135,36 @@
 func (c *codec) readBody(size int) ([]byte, error) {
 	if size <= maxKeptBufferBytes {
 		body := c.buffer(size)
-		_, err := io.ReadFull(c.conn, body)
-		return body, err
+		return body, c.fill(body)
 	}
 	var body []byte
 	for len(body) < size {
 		read := len(body)
 		body = slices.Grow(body, min(size-read, max(read, maxKeptBufferBytes)))[:min(size, max(2*read, maxKeptBufferBytes))]
-		if _, err := io.ReadFull(c.conn, body[read:]); err != nil {
+		if err := c.fill(body[read:]); err != nil {
 			return nil, err
 		}
 	}
 	return body, nil
 }
 
+// fill reads until the buffer is full. Where there is a patience, each part of the buffer may take that long.
+func (c *codec) fill(buffer []byte) error {
+	if c.patience == 0 || len(buffer) <= patientPartBytes {
+		_, err := io.ReadFull(c.conn, buffer)
+		return err
+	}
+	for part := range slices.Chunk(buffer, patientPartBytes) {
+		if err := c.conn.SetReadDeadline(time.Now().Add(c.patience)); err != nil {
+			return err
+		}
+		if _, err := io.ReadFull(c.conn, part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // buffer returns a buffer of the given size and keeps it for the next message.
 func (c *codec) buffer(size int) []byte {
 	if size <= len(c.inBuffer) {
--- a/io/peers/transport.go
+++ b/io/peers/transport.go
@@ -28,6 +28,14 @@
 	return c.readWithin(message, room)
 }
 
+// ReceivePatiently is Receive, but the deadline counts for the begin of the message only. The rest of a large one may take the patience for
+// each further part: how long it takes depends on its size and the link.
+func (c *Channel) ReceivePatiently(message proto.Message, patience time.Duration) error {
+	c.patience = patience
+	defer func() { c.patience = 0 }()
+	return c.read(message)
+}
+
 // Conn returns the underlying stream, on which deadlines can be set and which can be closed.
 func (c *Channel) Conn() net.Conn { return c.conn }
 
