io/node: a version that an instance of another fleet has is ignored

Callers of one instance got BUSY "the configuration here may lack a recent change" for good, with nothing wrong in their fleet. An instance that stops gives its address back, and one of another fleet may get it. Instances of the first fleet that still take the address for that of their owner call the second, and each call says which version the caller has. An instance that hears of a newer version than its own refuses its callers after two seconds, and this version never comes.

Messages carry the incarnation of their sender, and versions count only from those that the directory knows. A version of an instance that has just started counts as soon as its entry has arrived; others have that version too.

--- a/io/node/identity_test.go
+++ b/io/node/identity_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/base64"
+	"fmt"
 	"net/http"
 	"sync"
 	"testing"
@@ -46,6 +47,8 @@
 	requests []fakepl.Request
 	// served is when each instance last served a request.
 	served map[*testInstance]time.Time
+	// refused is how each instance last failed to serve one.
+	refused map[*testInstance]string
 }
 
 // dataCentreSize is the number of instances of a data centre that has store readers and followers.
@@ -55,17 +58,19 @@
 const clientPause = 20 * time.Millisecond
 
 func newKeyedClients(all []*testInstance, key string) *keyedClients {
-	c := &keyedClients{stopped: make(chan struct{}), served: map[*testInstance]time.Time{}}
+	c := &keyedClients{stopped: make(chan struct{}), served: map[*testInstance]time.Time{}, refused: map[*testInstance]string{}}
 	for _, i := range all {
 		c.goroutines.Go(func() {
 			for c.goOn() {
 				s, err := fakepl.DialAs(i.callers, "primary", key)
 				if err != nil {
+					c.refuse(i, err.Error())
 					continue
 				}
 				s.Observe = func(q fakepl.Request) { c.record(i, q) }
 				for c.goOn() {
 					if a, err := s.Query("WRITE k 1"); err != nil || a.Code != "" {
+						c.refuse(i, fmt.Sprint(a.Code, a.Text, err))
 						break
 					}
 				}
@@ -94,6 +99,19 @@
 	}
 }
 
+func (c *keyedClients) refuse(i *testInstance, reason string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused[i] = time.Now().Format(time.StampMilli) + " " + reason
+}
+
+// lastRefusal says when and how the instance last failed to serve a request.
+func (c *keyedClients) lastRefusal(i *testInstance) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refused[i]
+}
+
 func (c *keyedClients) lastServed(i *testInstance) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -148,7 +166,7 @@
 			clients, others := newKeyedClients(all, withdrawnKey), newKeyedClients(all, keptKey)
 			time.Sleep(time.Second)
 			for _, i := range all {
-				require.WithinDuration(t, time.Now(), clients.lastServed(i), time.Second, "%s serves the key before", i.id)
+				require.WithinDuration(t, time.Now(), clients.lastServed(i), time.Second, "%s serves the key before; last refused %q", i.id, clients.lastRefusal(i))
 			}
 			c.fail(site, readersOf(all), all)
 			site.Tenants = after
@@ -159,7 +177,7 @@
 			require.Empty(t, breaches)
 			for _, i := range all {
 				if c.kept {
-					require.WithinDuration(t, end, others.lastServed(i), 2*time.Second, "%s serves the other key", i.id)
+					require.WithinDuration(t, end, others.lastServed(i), 2*time.Second, "%s serves the other key; last refused %q", i.id, others.lastRefusal(i))
 				}
 			}
 		})
--- a/io/node/peercalls.go
+++ b/io/node/peercalls.go
@@ -66,7 +66,7 @@
 	if err := channel.Conn().SetDeadline(deadline); err != nil {
 		return nil, errors.Wrap(err, "setting a deadline")
 	}
-	call.Configuration = n.configurationVersion()
+	call.Configuration, call.Sender = n.configurationVersion(), uint64(n.settings.Self.Incarnation)
 	if err := channel.Send(call); err != nil {
 		return nil, err
 	}
@@ -74,14 +74,20 @@
 	if err := receive(reply); err != nil {
 		return nil, errors.Wrap(err, "waiting for the reply of another instance")
 	}
-	n.noticeVersion(reply.GetConfiguration())
+	n.noticeVersion(reply.GetConfiguration(), fleet.Incarnation(reply.GetSender()))
 	return reply, nil
 }
 
 // noticeVersion fetches the configuration when another instance reports a newer version than this one has. One fetch runs at
 // a time. An instance that has a configuration first waits for the version to arrive from the store's watch or a store reader. If it
 // does not, it asks other instances, of which most have the version by then, and reads the store if they do not answer.
-func (n *Node) noticeVersion(version int64) {
+//
+// An instance of another fleet may call, or answer, at an address that an instance of this one had. Its versions mean nothing here.
+func (n *Node) noticeVersion(version int64, sender fleet.Incarnation) {
+	if version > n.configurationVersion() && n.directory.isStranger(sender) {
+		n.logger.Debug("version of a stranger ignored", "version", version, "sender", uint64(sender))
+		return
+	}
 	n.storeSync.proof.Notice(routes.Version(version))
 	n.storeSync.backlog.Hear(routes.Version(version))
 	if version <= n.configurationVersion() || !n.fetchingConfiguration.CompareAndSwap(false, true) {
@@ -218,9 +224,9 @@
 		if err != nil {
 			return
 		}
-		n.noticeVersion(call.GetConfiguration())
+		n.noticeVersion(call.GetConfiguration(), fleet.Incarnation(call.GetSender()))
 		reply := n.serveCall(session, call)
-		reply.Configuration = n.configurationVersion()
+		reply.Configuration, reply.Sender = n.configurationVersion(), uint64(n.settings.Self.Incarnation)
 		err = session.send(reply)
 		if errors.Is(err, peers.ErrNotEncoded) {
 			n.logger.Warn("reply not sent to another instance", "request", logs.Text(call.GetWork().GetStatement().GetId()), "reason", err)
