--- a/io/node/directory.go
+++ b/io/node/directory.go
@@ -221,18 +221,6 @@
 	return d.remoteReaders
 }
 
-// isStranger reports whether no instance that is known here has the incarnation. An instance that knows no others cannot tell.
-func (d *directory) isStranger(incarnation fleet.Incarnation) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, i := range d.instances {
-		if i.Incarnation == incarnation {
-			return false
-		}
-	}
-	return len(d.instances) > 1
-}
-
 // localPosition returns how many instances of this one's data centre come before it by id, and how many there are in all.
 func (d *directory) localPosition() (position, count int) {
 	d.mu.Lock()
--- a/io/node/directoryitems.go
+++ b/io/node/directoryitems.go
@@ -111,3 +111,15 @@
 		d.apply(Item{Key: key, Revision: types.NewRevision(era, 0), Deleted: true})
 	}
 }
+
+// isUnknown reports whether no instance that is known here has the incarnation. An instance that knows no others cannot tell.
+func (d *directory) isUnknown(incarnation fleet.Incarnation) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, i := range d.instances {
+		if i.Incarnation == incarnation {
+			return false
+		}
+	}
+	return len(d.instances) > 1
+}
--- a/io/node/stranger_test.go
+++ b/io/node/foreignversion_test.go
@@ -26,9 +26,9 @@
 	record, err := hold.Record{Owner: hold.Owner{Instance: lost.ID, Incarnation: lost.Incarnation}}.Encode()
 	require.NoError(t, err)
 	other.Store.Put("turmericpulley/owners/db1", record)
-	stranger := startInstance(t, other, "stranger")
-	defer stranger.stop()
-	awaitWrite(t, stranger.callers)
+	foreign := startInstance(t, other, "foreign")
+	defer foreign.stop()
+	awaitWrite(t, foreign.callers)
 	time.Sleep(supersededLimit + time.Second)
 	for _, i := range all {
 		require.True(t, fakepl.SessionOpens(i.callers, "primary"), "%s", i.id)
--- a/io/node/peercalls.go
+++ b/io/node/peercalls.go
@@ -84,8 +84,8 @@
 //
 // An instance of another fleet may call, or answer, at an address that an instance of this one had. Its versions mean nothing here.
 func (n *Node) noticeVersion(version int64, sender fleet.Incarnation) {
-	if version > n.configurationVersion() && n.directory.isStranger(sender) {
-		n.logger.Debug("version of a stranger ignored", "version", version, "sender", uint64(sender))
+	if version > n.configurationVersion() && n.directory.isUnknown(sender) {
+		n.logger.Debug("version of an unknown instance ignored", "version", version, "sender", uint64(sender))
 		return
 	}
 	n.storeSync.proof.Notice(routes.Version(version))
