--- a/io/peers/writefailure_test.go
+++ b/io/peers/writefailure_test.go
@@ -50,8 +50,7 @@
 }
 
 // TestReadersDoNotSpinWhenAWriteFails guards against readers of streams that spin after a failed write on their
-// session, until the reading side of the session has failed as well. A randomised test showed it: scenario trouble-3 of
-// a deployment of nine instances, seed 141206266032.
+// session, until the reading side of the session has failed as well. A randomised test of nine instances showed it.
 func TestReadersDoNotSpinWhenAWriteFails(t *testing.T) {
 	const streams = 50
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
